--- /dev/null
+++ b/olivepost/interface.py
@@ -0,0 +1,268 @@
+"""The decision module's interface: settings, events and actions, in the field's terms.
+
+Times are whole nanoseconds on one clock that never goes back. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """What repeating a request of a class does."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """The caches that drop the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(Enum):
+    """Where a member stands in its life, by the list."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """What a membership event holds."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    STORED = "stored"
+    FAILED = "failed"
+
+
+class Status(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    NOT_CONNECTED = "not connected"
+    BROKEN_OFF = "broken off"
+    CANCELLED = "cancelled"
+    NEVER_SENT = "never sent"
+    NO_COPY = "no copy"
+
+
+NEVER_RAN = frozenset({Status.TURNED_AWAY, Status.NOT_CONNECTED, Status.NEVER_SENT, Status.NO_COPY})
+
+
+class Note(Enum):
+    """What a cache tells of how it came by its answer."""
+
+    NOTHING = 0
+    HIT = 1
+    FILLED = 2
+    FILLED_BY_ORIGIN = 3
+    JOINED = 4
+    STALE_HIT = 5
+    SOURCE_REFUSED = 6
+    SOURCE_LOST = 7
+    SOURCE_LACKS = 8
+    NO_FILL_PLACE = 9
+    ORIGIN_FAILED = 10
+
+
+@dataclass(frozen=True, slots=True)
+class ClassSettings:
+    """One class of requests."""
+
+    name: str
+    aim: int
+    aim_stretch: float
+    deadline: int
+    effect: Effect
+    scope: Scope
+    window: int
+    streaming: bool
+    worth: float
+    late_worth: float
+    fresh: int
+    grace: int
+    stale_worth: float
+    uncacheable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a front is told when it starts."""
+
+    classes: dict[str, ClassSettings]
+    zone: str
+    fronts: int
+    zone_fronts: int
+    parent_kind: str
+    origin_kind: str
+    weights_told: bool
+    pace_kb_per_s: float
+    can_join: bool
+    direct: bool
+    siblings_as_source: str
+    tells_hits: bool
+    tells_causes: bool
+    purge_done: int
+    parent_cold_from: float
+    parent_warm_within: int
+    parent_fall_multiple: float
+    cold_from: float
+    warm_within: int
+    fall_window: int
+    fall_multiple: float
+    ask_for_list: bool
+    ask_within: int
+    max_attempts: int
+    may_cancel: bool
+    second_copies: bool
+    retry_after: bool
+    max_retry_after: int
+    tick: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One member as the list has it; `started` 0 means long ago."""
+
+    address: str
+    state: State
+    kind: str = ""
+    zone: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    started: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """The list of members, whole or changed."""
+
+    kind: ListKind
+    members: tuple[Listed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's request; `size_kb` 0 and `group` None mean not told."""
+
+    id: str
+    class_name: str
+    object: str
+    ttl: int
+    size_kb: float = 0.0
+    group: int | None = None
+    part: int = 0
+    write: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A streamed answer has begun; the attempt is the client's now."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """An attempt has ended; `final` says that the request is over."""
+
+    id: str
+    attempt: int
+    status: Status
+    took: int
+    final: bool = False
+    note: Note = Note.NOTHING
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    """The client has gone; nothing more is owed."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Purge:
+    """Copies of an object (None: of a whole group) older than `age` are out of date."""
+
+    object: str | None
+    group: int | None
+    age: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer that the router set has come due."""
+
+    token: int
+
+
+Event = Membership | Request | Begun | Outcome | ClientLeft | Purge | TimerFired
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Send one attempt to a cache, or straight to a parent or the origin.
+
+    `source` equal to `cache` means no fill; `max_age` 0 means the class's fresh time;
+    `rank` 0 keeps no copy.
+    """
+
+    id: str
+    cache: str
+    source: str
+    rank: int
+    timeout: int
+    max_age: int
+    join: bool = False
+    renew: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop waiting for an attempt."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: rejected, trying again is harmless; `retry_after` 0 gives no advice."""
+
+    id: str
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed, with no promise about its effect."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a `TimerFired` after `delay`."""
+
+    delay: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for changes of the list from now on."""
+
+
+Action = Fetch | Cancel | Refuse | Fail | SetTimer | Subscribe
--- /dev/null
+++ b/olivepost/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts routers on the simulator's wire."""
