--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -24,7 +24,7 @@
 LOW, MIDDLE, TOP = 1, 2, 3
 TOP_SHARE = 0.25  # of the live names' bytes: what the top rank may hold
 MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 20_000, 4_096
-OPEN_AT_CACHE, OPEN_AT_SOURCE = 32, 64  # own open fills that make placement skip a member
+OPEN_AT_CACHE, OPEN_AT_SOURCE = 5, 64  # own open fills that make placement skip a member
 # Health: failures in a row or failing share that suspend a member, and how long until its trial request.
 STREAK, BAD_SHARE, BAD_STEP = 2, 0.5, 0.2
 FIRST_PAUSE, LONGEST_PAUSE = 1 * SECOND, 4 * SECOND
