--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -40,7 +40,7 @@
     """f-TTL: the two levels of one class and the lifetimes that follow from them."""
 
     def __init__(self) -> None:
-        self.deep, self.shallow, self.mean_size = FIRST_LEVEL, 0.0, 0.0
+        self.deep, self.shallow, self.mean_size = FIRST_LEVEL, 1.0, 0.0
 
     def lifetime(self) -> float:
         """θ, the lifetime of a name that has come back."""
