--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -22,7 +22,7 @@
 LONGEST, STEP, SIZE_STEP, EPSILON = 60 * SECOND, 0.01, 0.0001, 0.1
 HIT_TARGET, SIZE_TARGET, FIRST_LEVEL = 0.8, 5 * SECOND, 0.5
 LOW, MIDDLE, TOP = 1, 2, 3
-TOP_SHARE = 0.25  # of the live names' bytes: what the top rank may hold
+TOP_SHARE = 0.05  # of the live names' bytes: what the top rank may hold
 MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 20_000, 4_096
 OPEN_AT_CACHE, OPEN_AT_SOURCE = 5, 64  # own open fills that make placement skip a member
 # Health: failures in a row or failing share that suspend a member, and how long until its trial request.
