--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -429,8 +429,9 @@
         """Sends the next attempt, or gives up at once where none can be sent."""
         s, spec, request = self.settings, held.spec, held.request
         left = held.deadline - now
-        cache = self._pick(now, self._caches.order(request.object), held, OPEN_AT_CACHE, False)
-        source = self._pick(now, self._parents.order(request.object), held, OPEN_AT_SOURCE, True) or self._origin
+        name = f"{request.object}.{request.part}"
+        cache = self._pick(now, self._caches.order(name), held, OPEN_AT_CACHE, False)
+        source = self._pick(now, self._parents.order(name), held, OPEN_AT_SOURCE, True) or self._origin
         if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         if cache is None or held.sends >= s.max_attempts or left <= s.tick or not self._may_repeat(now, held, cache):
@@ -572,7 +573,7 @@
         Departure: misses that no ranking could have spared (after a purge, at a cache that started lately,
         or away from the object's own place) would drive the level to its ceiling, where every new name is lifted.
         """
-        home = self._caches.order(held.request.object)
+        home = self._caches.order(f"{held.request.object}.{held.request.part}")
         young = cache.listed.started > 0 and now - cache.listed.started < LONGEST
         return not (young or self._purges.recent(now, held.request)) and home[:1] == (attempt.cache,)
 
