Open-fill bound of twice a cache's link, shared by the location's fronts

Cause: a fixed bound per front spills where few fronts serve a location and queues where many do. Conclusion: a cache's link, not a number, is the measure; told weights are used where there are any.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -24,7 +24,9 @@
 LOW, MIDDLE, TOP = 1, 2, 3
 TOP_SHARE = 0.05  # of the live names' bytes: what the top rank may hold
 MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 20_000, 4_096
-OPEN_AT_CACHE, OPEN_AT_SOURCE = 5, 64  # own open fills that make placement skip a member
+# Own open fills that make placement skip a cache: so many times its link, shared among the location's
+# fronts; a link not told is taken for so many transfers. At a source a plain number.
+CROWD, USUAL_LINK, OPEN_AT_SOURCE = 2.0, 8.0, 64
 # Health: failures in a row or failing share that suspend a member, and how long until its trial request.
 STREAK, BAD_SHARE, BAD_STEP = 2, 0.5, 0.2
 FIRST_PAUSE, LONGEST_PAUSE = 1 * SECOND, 4 * SECOND
@@ -405,15 +407,20 @@
             and one.listed.zone == other.listed.zone
         )
 
-    def _pick(self, now: int, order: tuple[str, ...], held: Held, bound: int, as_source: bool) -> str | None:
+    def _pick(self, now: int, order: tuple[str, ...], held: Held, bound: Callable[[Member], float], as_source: bool) -> str | None:
         """The first fit member below its bound; all skipped, the first that may be used at all."""
         work = self._work(held.spec)
         usable = [a for a in order if self._room(now, self._members[a], work, as_source)]
         fit = [a for a in usable if self._members[a].fit(now) and a not in held.avoid]
-        free = [a for a in fit if self._members[a].open < bound]
+        free = [a for a in fit if self._members[a].open < bound(self._members[a])]
         rest = [a for a in usable if a not in held.avoid]
         return next(iter(free or fit or rest or usable), None)
 
+    def _crowd(self, member: Member) -> float:
+        """The open-fill bound at a cache."""
+        link = member.listed.weight if self.settings.weights_told else USUAL_LINK
+        return max(2.0, CROWD * link / max(1, self.settings.zone_fronts))
+
     def _may_repeat(self, now: int, held: Held, target: str) -> bool:
         """Rule 2: whether one more attempt, at this target, can do no effect twice."""
         if not held.ran or held.spec.effect is Effect.SAFE:
@@ -430,8 +437,8 @@
         s, spec, request = self.settings, held.spec, held.request
         left = held.deadline - now
         name = f"{request.object}.{request.part}"
-        cache = self._pick(now, self._caches.order(name), held, OPEN_AT_CACHE, False)
-        source = self._pick(now, self._parents.order(name), held, OPEN_AT_SOURCE, True) or self._origin
+        cache = self._pick(now, self._caches.order(name), held, self._crowd, False)
+        source = self._pick(now, self._parents.order(name), held, lambda m: OPEN_AT_SOURCE, True) or self._origin
         if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         if cache is None or held.sends >= s.max_attempts or left <= s.tick or not self._may_repeat(now, held, cache):
