--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -33,6 +33,8 @@
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, TRUST = 2.0, 0.7  # transfers a member surely carries; how far a told weight is believed
 PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
+# Pressure: its step, the late share it leaves alone, its ceiling, and the size cut that goes with it.
+PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.02, 0.1, 0.95, 4.0
 ADVICE = 500 * MS  # about when a refused client is asked to come back
 
 
@@ -60,6 +62,29 @@
         self.shallow = min(1.0, max(0.0, self.shallow + step))
 
 
+class Pressure:
+    """Overload: a level that late answers raise, and the cost a request may have under it.
+
+    Guards against more work than the location can serve in time, whatever took the capacity away: lost
+    caches, floods, big objects, slow fills. Works as ϑ does: level += step·(late − target), clamped. Hurts
+    where lateness has another cause, for then the dearest requests are refused to no avail.
+    """
+
+    def __init__(self, draw: random.Random) -> None:
+        self.level, self._mean, self._draw = 0.0, 0.0, draw
+
+    def learn(self, late: bool) -> None:
+        """Moves the level by one answer."""
+        self.level = min(PRESS_MOST, max(0.0, self.level + PRESS_STEP * (late - LATE_SHARE)))
+
+    def refuses(self, cost: float, known: bool) -> bool:
+        """Whether a request of such work for its worth, size known or guessed, is too dear now."""
+        self._mean += (cost - self._mean) * (PACE_STEP if self._mean else 1.0)
+        if not known:
+            cost *= self._draw.expovariate(1.0)
+        return cost * self.level > PRESS_CUT * (1 - self.level) * self._mean
+
+
 class NameTable:
     """Names with a running timer; the one that ends first makes room."""
 
@@ -231,6 +256,7 @@
     request: Request
     spec: ClassSettings
     name: str
+    arrived: int
     deadline: int
     rank: int
     left: int | None
@@ -252,6 +278,7 @@
         self._warm: dict[str, int] = {}  # by role: members that have long run
         self._levels = {name: Levels() for name in settings.classes}
         self._names, self._purges, self._pace = NameTable(), Purges(settings.purge_done), Pace()
+        self._pressure = Pressure(self._random)
         self._held: dict[str, Held] = {}
         self._timers: dict[int, Callable[[int], None]] = {}
         self._tokens, self._retries, self._subscribed = 0, RETRY_SAVED, not settings.ask_for_list
@@ -293,7 +320,7 @@
             elif known and known.listed.started == item.started:
                 known.listed = item
             else:  # another process: its health and warmth start anew
-                members[item.address] = Member(item)
+                members[item.address] = Member(item, sent=known.sent if known else deque())
         ready = [m.listed for m in members.values() if m.listed.state is State.READY]
         roles = {m.address: self._role(m) for m in ready}
         self._caches.settle(a for a, role in roles.items() if role == "cache")
@@ -327,11 +354,14 @@
             self._names.put(name, now + int(levels.lifetime()), rank, request.size_kb or 1.0)
         if self._sized(request):
             self._pace.seen(self._pace.work, spec.name, self._sized(request))
-        self._retries = min(RETRY_SAVED, self._retries + RETRY_EARN)
-        held = self._held[request.id] = Held(request, spec, name, now + request.ttl, rank, left)
+        self._retries = min(RETRY_SAVED, self._retries + RETRY_EARN * (1 - self._pressure.level))
+        held = self._held[request.id] = Held(request, spec, name, now, now + request.ttl, rank, left)
         # Rule 1: whatever else happens, the answer goes out before the client's time is up.
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._backstop(request.id))
-        self._send(now, held)
+        if self._pressure.refuses((self._sized(request) or self._work(spec)) / spec.worth, bool(request.size_kb)):
+            self._give_up(held)
+        else:
+            self._send(now, held)
 
     def _sized(self, request: Request) -> float:
         """The request's own sending time; 0 where its size is not told."""
@@ -464,6 +494,7 @@
             at = self._members[attempt.cache].listed if attempt.cache in self._members else None
             held.ran.append((attempt.sent, at or Listed(attempt.cache, State.GONE)))
         if self._retries < 1:
+            self._pressure.learn(True)
             self._give_up(held)
             return
         self._retries -= 1
@@ -516,6 +547,8 @@
         if hit and not size:
             self._pace.seen(self._pace.work, spec.name, float(event.took))
         self._pace.seen(self._pace.took, spec.name, float(event.took))
+        own = self._sized(held.request) or 2 * work
+        self._pressure.learn(now - held.arrived > spec.aim + spec.aim_stretch * own)
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
