--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -548,7 +548,8 @@
             self._pace.seen(self._pace.work, spec.name, float(event.took))
         self._pace.seen(self._pace.took, spec.name, float(event.took))
         own = self._sized(held.request) or 2 * work
-        self._pressure.learn(now - held.arrived > spec.aim + spec.aim_stretch * own)
+        if hit:
+            self._pressure.learn(now - held.arrived > spec.aim + spec.aim_stretch * own)
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
