--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -494,7 +494,6 @@
             at = self._members[attempt.cache].listed if attempt.cache in self._members else None
             held.ran.append((attempt.sent, at or Listed(attempt.cache, State.GONE)))
         if self._retries < 1:
-            self._pressure.learn(True)
             self._give_up(held)
             return
         self._retries -= 1
