--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -546,7 +546,7 @@
         if hit and not size:
             self._pace.seen(self._pace.work, spec.name, float(event.took))
         self._pace.seen(self._pace.took, spec.name, float(event.took))
-        own = self._sized(held.request) or 2 * work
+        own = self._sized(held.request) or spec.aim  # the mean would grow with the load itself
         if hit:
             self._pressure.learn(now - held.arrived > spec.aim + spec.aim_stretch * own)
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
