--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -31,7 +31,7 @@
 STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
 STRETCH, LEAST_PATIENCE = 2.0, 250 * MS  # an attempt out so many times as long as expected is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
-LEAST_LINK, TRUST = 2.0, 0.7  # transfers a member surely carries; how far a told weight is believed
+LEAST_LINK, TRUST = 2.0, 0.7  # transfers a member surely carries; how far other links are believed
 PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
 # Pressure: its step, the late share it leaves alone, its ceiling, and the size cut that goes with it.
 PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.02, 0.1, 0.95, 4.0
@@ -230,7 +230,7 @@
         kind[name] = kind[name] + PACE_STEP * (value - kind[name]) if name in kind else value
 
     def done(self, now: int, role: str, work: float = 0.0) -> float:
-        """Adds work done by members of a role; returns its rate in transfers."""
+        """Adds work that a mean warm member of a role got done; returns its rate in transfers."""
         then, total = self._done.get(role, (now, 0.0))
         self._done[role] = now, total * max(0.0, 1 - (now - then) / PACE_MEMORY) + work
         return self._done[role][1] / PACE_MEMORY
@@ -275,7 +275,7 @@
         self._random = random.Random(seed)
         self._members: dict[str, Member] = {}
         self._caches, self._parents, self._origin = Placement(), Placement(), ""
-        self._warm: dict[str, int] = {}  # by role: members that have long run
+        self._warm: dict[str, str] = {}  # the role of each member that has long run
         self._levels = {name: Levels() for name in settings.classes}
         self._names, self._purges, self._pace = NameTable(), Purges(settings.purge_done), Pace()
         self._pressure = Pressure(self._random)
@@ -326,7 +326,7 @@
         self._caches.settle(a for a, role in roles.items() if role == "cache")
         self._parents.settle(a for a, role in roles.items() if role == "parent")
         self._origin = min((a for a, role in roles.items() if role == "origin"), default="")
-        self._warm = {r: sum(roles[m.address] == r and not m.started for m in ready) for r in ("cache", "parent")}
+        self._warm = {m.address: roles[m.address] for m in ready if not m.started}
         if event.kind is ListKind.FAILED:
             self._subscribed = not s.ask_for_list
         if not self._subscribed:
@@ -401,9 +401,8 @@
         age = now - listed.started - s.fall_window
         if not listed.started or role == "origin" or age >= warm:
             return True
-        link = max(LEAST_LINK / fronts, self._pace.done(now, role) / max(1, self._warm[role]))
-        if s.weights_told:
-            link = max(link, TRUST * listed.weight / fronts)
+        told = listed.weight / fronts if s.weights_told else 0.0
+        link = max(LEAST_LINK / fronts, TRUST * max(told, self._pace.done(now, role)))
         share = floor + (1 - floor) * max(0, age) / max(1, warm)
         return sum(cell[1] for cell in member.sent) + work <= multiple * share * link * s.fall_window
 
@@ -539,8 +538,8 @@
             member = self._members.get(address)
             if member and shown:
                 member.works(now)
-                if not member.listed.started and self._role(member.listed) == role:
-                    self._pace.done(now, role, work)
+                if self._warm.get(address) == role:
+                    self._pace.done(now, role, work / list(self._warm.values()).count(role))
         if hit and attempt.fill and not attempt.renew:
             attempt.fill[1] = 0.0  # no fill came to the source
         if hit and not size:
