--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -34,7 +34,7 @@
 LEAST_LINK, TRUST = 2.0, 0.7  # transfers a member surely carries; how far other links are believed
 PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
 # Pressure: its step, the late share it leaves alone, its ceiling, and the size cut that goes with it.
-PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.02, 0.1, 0.95, 4.0
+PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.2, 0.9, 4.0
 ADVICE = 500 * MS  # about when a refused client is asked to come back
 
 
@@ -547,7 +547,7 @@
         self._pace.seen(self._pace.took, spec.name, float(event.took))
         own = self._sized(held.request) or spec.aim  # the mean would grow with the load itself
         if hit:
-            self._pressure.learn(now - held.arrived > spec.aim + spec.aim_stretch * own)
+            self._pressure.learn(event.took > spec.aim + spec.aim_stretch * own)
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
