--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -35,6 +35,7 @@
 PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
 # Pressure: its step, the late share it leaves alone, its ceiling, and the size cut that goes with it.
 PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.2, 0.9, 4.0
+EASE_STEP, EASE_LEAST, EASE_MOST = 0.05, 0.3, 1.5
 ADVICE = 500 * MS  # about when a refused client is asked to come back
 
 
@@ -156,6 +157,7 @@
     until: int = 0  # suspended until then; 0: not
     on_trial: bool = False
     open: int = 0
+    ease: float = 1.0  # of the open-fill bound: down with late hits, up with timely ones
     sent: deque[list[float]] = field(default_factory=deque)  # [time, work] over the fall window
 
     def works(self, now: int) -> None:
@@ -176,6 +178,10 @@
             self.pause = min(LONGEST_PAUSE, 2 * self.pause) if self.until else FIRST_PAUSE
             self.until, self.on_trial = now + self.pause, False
 
+    def eases(self, late: bool) -> None:
+        """Follows what the member bears: its hits come late where too many share its link."""
+        self.ease = min(EASE_MOST, max(EASE_LEAST, self.ease + EASE_STEP * (LATE_SHARE - late)))
+
     def fit(self, now: int) -> bool:
         """Not suspended, or due for its one trial request."""
         return not self.until or (now >= self.until and not self.on_trial)
@@ -407,9 +413,9 @@
         return sum(cell[1] for cell in member.sent) + work <= multiple * share * link * s.fall_window
 
     def _crowd(self, member: Member) -> float:
-        """The open-fill bound at a cache."""
+        """The open-fill bound at a cache, as far as its answers have lately come in time."""
         link = member.listed.weight if self.settings.weights_told else USUAL_LINK
-        return max(2.0, CROWD * link / max(1, self.settings.zone_fronts))
+        return max(2.0, member.ease * CROWD * link / max(1, self.settings.zone_fronts))
 
     def _pick(self, now: int, order: tuple[str, ...], held: Held, bound: Callable[[Member], float]) -> str | None:
         """The first fit member below its bound; all skipped, the first that may be used at all."""
@@ -547,7 +553,10 @@
         self._pace.seen(self._pace.took, spec.name, float(event.took))
         own = self._sized(held.request) or spec.aim  # the mean would grow with the load itself
         if hit:
-            self._pressure.learn(event.took > spec.aim + spec.aim_stretch * own)
+            late = event.took > spec.aim + spec.aim_stretch * own
+            self._pressure.learn(late)
+            if attempt.cache in self._members:
+                self._members[attempt.cache].eases(late)
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
