--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -34,7 +34,7 @@
 LEAST_LINK, TRUST = 2.0, 0.7  # transfers a member surely carries; how far other links are believed
 PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
 # Pressure: its step, the late share it leaves alone, its ceiling, and the size cut that goes with it.
-PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.2, 0.9, 4.0
+PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.1, 0.9, 4.0
 EASE_STEP, EASE_LEAST, EASE_MOST = 0.05, 0.3, 1.5
 ADVICE = 500 * MS  # about when a refused client is asked to come back
 
@@ -364,6 +364,8 @@
         held = self._held[request.id] = Held(request, spec, name, now, now + request.ttl, rank, left)
         # Rule 1: whatever else happens, the answer goes out before the client's time is up.
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._backstop(request.id))
+        caches = [m for m in map(self._members.__getitem__, self._caches.order(name)) if m.fit(now)]
+        self._pressure.learn(all(m.open >= self._crowd(m) for m in caches))
         if self._pressure.refuses((self._sized(request) or self._work(spec)) / spec.worth, bool(request.size_kb)):
             self._give_up(held)
         else:
@@ -554,7 +556,6 @@
         own = self._sized(held.request) or spec.aim  # the mean would grow with the load itself
         if hit:
             late = event.took > spec.aim + spec.aim_stretch * own
-            self._pressure.learn(late)
             if attempt.cache in self._members:
                 self._members[attempt.cache].eases(late)
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
