--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -441,7 +441,8 @@
         s, spec, request, left = self.settings, held.spec, held.request, held.deadline - now
         cache = self._pick(now, self._caches.order(held.name), held, self._crowd)
         source = self._pick(now, self._parents.order(held.name), held, lambda m: OPEN_AT_SOURCE) or self._origin
-        if cache is None and s.direct and source:
+        crowded = cache is None or self._members[cache].open >= self._crowd(self._members[cache])
+        if crowded and s.direct and source:
             cache, source = source, self._origin or source
         if cache is None or held.sends >= s.max_attempts or left <= s.tick or not self._may_repeat(now, held, cache):
             self._give_up(held)
