--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -26,7 +26,7 @@
 MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 20_000, 4_096
 # Own open fills that make placement skip a cache: so many times its link, shared among the location's
 # fronts; a link not told is taken for so many transfers. At a source a plain number.
-CROWD, USUAL_LINK, OPEN_AT_SOURCE = 2.0, 8.0, 64
+CROWD, USUAL_LINK, OPEN_AT_SOURCE = 1.5, 8.0, 64
 # Health: failures in a row or failing share that suspend a member, and how long until its trial request.
 STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
 STRETCH, LEAST_PATIENCE = 2.0, 250 * MS  # an attempt out so many times as long as expected is looked at
@@ -441,8 +441,7 @@
         s, spec, request, left = self.settings, held.spec, held.request, held.deadline - now
         cache = self._pick(now, self._caches.order(held.name), held, self._crowd)
         source = self._pick(now, self._parents.order(held.name), held, lambda m: OPEN_AT_SOURCE) or self._origin
-        crowded = cache is None or self._members[cache].open >= self._crowd(self._members[cache])
-        if crowded and s.direct and source:
+        if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         if cache is None or held.sends >= s.max_attempts or left <= s.tick or not self._may_repeat(now, held, cache):
             self._give_up(held)
