--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -16,10 +16,10 @@
 SECOND = 1_000_000_000
 # f-TTL (design page; paper, III and V): longest lifetime, steps, targets, width of the threshold.
 LONGEST, STEP, SIZE_STEP, EPSILON = 60 * SECOND, 0.01, 0.0001, 0.1
-HIT_TARGET, SIZE_TARGET, FIRST_LEVEL, FIRST_SHALLOW = 0.8, 5 * SECOND, 0.5, 1.0
+HIT_TARGET, SIZE_TARGET, FIRST_LEVEL, FIRST_SHALLOW = 0.8, 5 * SECOND, 0.5, 0.0
 LOW, MIDDLE, TOP = 1, 2, 3
 SOURCE_FAILED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
-TOP_SHARE = 0.05  # of the live names' bytes, which span more time than caches do
+TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
 # Own open fills that make placement skip a cache: links' worth, over the location's fronts; and a source.
 CROWD, USUAL_LINK, OPEN_AT_SOURCE = 1.5, 8.0, 64
