--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -22,7 +22,7 @@
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
 # Own open fills that make placement skip a cache: links' worth, over the location's fronts; and a source.
-CROWD, USUAL_LINK, OPEN_AT_SOURCE = 1.5, 8.0, 64
+CROWD, USUAL_LINK, CROWD_SOURCE, USUAL_PARENT = 1.5, 8.0, 3.0, 32.0
 # Health: failures in a row or failing share that suspend a member, and how long until its trial request.
 STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
@@ -372,19 +372,20 @@
         return sum(cell[1] for cell in member.sent) + work <= multiple * share * link * s.fall_window
 
     def _crowd(self, member: Member) -> float:
-        """The open-fill bound at a cache, as far as its answers have lately come in time."""
-        link = member.listed.weight if self.settings.weights_told else USUAL_LINK
-        return max(2.0, member.ease * CROWD * link / max(1, self.settings.zone_fronts))
-
-    def _pick(
-        self, now: int, order: tuple[str, ...], held: Held, bound: Callable[[Member], float]
-    ) -> str | None:
+        """The open-fill bound, as far as the member's answers have lately come in time."""
+        s, most, usual, fronts = self.settings, CROWD, USUAL_LINK, self.settings.zone_fronts
+        if self._role(member.listed) == "parent":
+            most, usual, fronts = CROWD_SOURCE, USUAL_PARENT, s.fronts
+        link = member.listed.weight if s.weights_told else usual
+        return max(2.0, member.ease * most * link / max(1, fronts))
+
+    def _pick(self, now: int, order: tuple[str, ...], held: Held) -> str | None:
         """The first fit member below its bound; all skipped, the first that may be used at all."""
         work = self._work(held.spec)
         usable = [a for a in order if self._room(now, self._members[a], work)]
         rest = [a for a in usable if a not in held.avoid]
         fit = [a for a in rest if self._members[a].fit(now)]
-        free = [a for a in fit if self._members[a].open < bound(self._members[a])]
+        free = [a for a in fit if self._members[a].open < self._crowd(self._members[a])]
         return next(iter(free or fit or rest or usable), None)
 
     def _may_repeat(self, now: int, held: Held, target: str) -> bool:
@@ -400,9 +401,8 @@
     def _send(self, now: int, held: Held, price: int = 0) -> None:
         """Sends the next attempt, or gives up at once where none can be sent."""
         s, spec, request, left = self.settings, held.spec, held.request, held.deadline - now
-        cache = self._pick(now, self._caches.order(held.name), held, self._crowd)
-        parents = self._parents.order(held.name)
-        source = self._pick(now, parents, held, lambda m: OPEN_AT_SOURCE) or self._origin
+        cache = self._pick(now, self._caches.order(held.name), held)
+        source = self._pick(now, self._parents.order(held.name), held) or self._origin
         if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         spent = held.sends >= s.max_attempts or left <= s.tick or self._retries < price
@@ -489,7 +489,6 @@
         hit = event.note in (api.Note.HIT, api.Note.STALE_HIT)
         filled = event.note in (api.Note.FILLED, api.Note.FILLED_BY_ORIGIN, api.Note.JOINED)
         work, spec, size = self._work(held.spec), held.spec, held.request.size_kb
-        cache = self._members.get(attempt.cache)
         for address, shown, role in ((attempt.cache, True, "cache"), (attempt.source, filled, "parent")):
             member = self._members.get(address)
             if member and shown:
@@ -500,9 +499,10 @@
             attempt.fill[1] = 0.0  # no fill came to the source
         if hit and not size:
             self._pace.seen(spec.name, float(event.took))
-        if hit and cache:  # its hits come late where too many share its link
-            late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
-            cache.ease = min(EASE_MOST, max(EASE_LEAST, cache.ease + EASE_STEP * (LATE_SHARE - late)))
+        late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
+        used = self._members.get(attempt.cache if hit else attempt.source)
+        if used and (hit or filled):  # hits come late where too many share its link, fills where at the source
+            used.ease = min(EASE_MOST, max(EASE_LEAST, used.ease + EASE_STEP * (LATE_SHARE - late)))
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
