--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -27,7 +27,7 @@
 STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
-LEAST_LINK, TRUST = 2.0, 0.7  # transfers a member surely carries; how far other links are believed
+LEAST_LINK, TRUST = 2.0, 1.0  # transfers a member surely carries; how far other links are believed
 PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
 # Pressure: its step, the full (or late) share it leaves alone, its ceiling, and the cut that goes with it.
 PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.1, 0.9, 4.0
