--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -27,8 +27,7 @@
 STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
-LEAST_LINK, TRUST = 2.0, 1.0  # transfers a member surely carries; how far other links are believed
-PACE_MEMORY, PACE_STEP = 10 * SECOND, 0.05
+LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
 # Pressure: its step, the full (or late) share it leaves alone, its ceiling, and the cut that goes with it.
 PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.1, 0.9, 4.0
 EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.05, 0.3, 1.5, SECOND // 2  # when refused clients come back
@@ -225,7 +224,6 @@
     cache: str
     source: str
     sent: int
-    patience: int
     fill: list[float] | None  # its place in the source's budget, given back after a hit
 
 
@@ -328,8 +326,8 @@
         held = self._held[request.id] = Held(request, spec, name, now + request.ttl, rank, left)
         # Rule 1: whatever else happens, the answer goes out before the client's time is up.
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._give_up(held))
-        caches = [self._members[address] for address in self._caches.order(name)]
-        self._pressure.learn(all(m.open >= self._crowd(m) for m in caches if m.fit(now)))
+        caches = (self._members[address] for address in self._caches.order(name))
+        self._pressure.learn(all(m.open >= self._crowd(now, m) for m in caches if m.fit(now)))
         cost = (self._sized(request) or self._work(spec)) / spec.worth
         if self._pressure.refuses(cost, bool(request.size_kb)):
             self._give_up(held)
@@ -356,28 +354,32 @@
         Guards every window: the capacity is that of the window's start. The link is guessed from a weight or
         the work that warm members get done. Hurts where members are much larger than they have shown.
         """
-        s, listed, role = self.settings, member.listed, self._role(member.listed)
-        while member.sent and member.sent[0][0] <= now - s.fall_window:
+        s, role, window = self.settings, self._role(member.listed), self.settings.fall_window
+        while member.sent and member.sent[0][0] <= now - window:
             member.sent.popleft()
-        floor, warm, multiple, fronts = s.cold_from, s.warm_within, s.fall_multiple, max(1, s.zone_fronts)
+        share, parent = self._share(now - window, member), role == "parent"
+        fronts = max(1, s.fronts if parent else s.zone_fronts)
+        multiple = s.parent_fall_multiple if parent else s.fall_multiple
+        told = member.listed.weight * s.weights_told / fronts
+        link = max(LEAST_LINK / fronts, told, self._pace.done(now, role))
+        return share >= 1 or sum(cell[1] for cell in member.sent) + work <= multiple * share * link * window
+
+    def _share(self, now: int, member: Member) -> float:
+        """The part of its link that a member surely has by now, from its start on."""
+        s, role = self.settings, self._role(member.listed)
+        floor, warm = s.cold_from, max(1, s.warm_within)
         if role == "parent":
-            floor, warm, multiple = s.parent_cold_from, s.parent_warm_within, s.parent_fall_multiple
-            fronts = max(1, s.fronts)
-        age = now - listed.started - s.fall_window
-        if not listed.started or role == "origin" or age >= warm:
-            return True
-        told = listed.weight * s.weights_told / fronts
-        link = max(LEAST_LINK / fronts, TRUST * max(told, self._pace.done(now, role)))
-        share = floor + (1 - floor) * max(0, age) / max(1, warm)
-        return sum(cell[1] for cell in member.sent) + work <= multiple * share * link * s.fall_window
+            floor, warm = s.parent_cold_from, max(1, s.parent_warm_within)
+        age = now - member.listed.started if member.listed.started and role != "origin" else warm
+        return min(1.0, floor + (1 - floor) * max(0, age) / warm)
 
-    def _crowd(self, member: Member) -> float:
-        """The open-fill bound, as far as the member's answers have lately come in time."""
+    def _crowd(self, now: int, member: Member) -> float:
+        """The open-fill bound: of the link it has by now, as far as its answers have lately come in time."""
         s, most, usual, fronts = self.settings, CROWD, USUAL_LINK, self.settings.zone_fronts
         if self._role(member.listed) == "parent":
             most, usual, fronts = CROWD_SOURCE, USUAL_PARENT, s.fronts
-        link = member.listed.weight if s.weights_told else usual
-        return max(2.0, member.ease * most * link / max(1, fronts))
+        link = self._share(now, member) * (member.listed.weight if s.weights_told else usual)
+        return max(1.0, member.ease * most * link / max(1, fronts))
 
     def _pick(self, now: int, order: tuple[str, ...], held: Held) -> str | None:
         """The first fit member below its bound; all skipped, the first that may be used at all."""
@@ -385,7 +387,7 @@
         usable = [a for a in order if self._room(now, self._members[a], work)]
         rest = [a for a in usable if a not in held.avoid]
         fit = [a for a in rest if self._members[a].fit(now)]
-        free = [a for a in fit if self._members[a].open < self._crowd(self._members[a])]
+        free = [a for a in fit if self._members[a].open < self._crowd(now, self._members[a])]
         return next(iter(free or fit or rest or usable), None)
 
     def _may_repeat(self, now: int, held: Held, target: str) -> bool:
@@ -424,14 +426,14 @@
             member.on_trial = member.until > 0
             fill = cell if address != cache else None
         patience = int(PATIENCE * spec.aim + STRETCH * (self._sized(request) or self._work(spec)))
-        attempt = Attempt(held.sends, cache, source, now, patience, None if renew else fill)
+        attempt = Attempt(held.sends, cache, source, now, None if renew else fill)
         held.out[held.sends] = attempt
         held.sends += 1
         self._actions.append(api.Fetch(request.id, cache, source, held.rank, left, age, s.can_join, renew))
-        if attempt.patience < left:
-            self._after(attempt.patience, lambda then: self._look(then, held, attempt))
+        if patience < left:
+            self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
-    def _look(self, now: int, held: Held, attempt: Attempt) -> None:
+    def _look(self, now: int, held: Held, attempt: Attempt, patience: int) -> None:
         """An attempt is out for long: leave it where its cache, or its source, has been silent all the while.
 
         Guards against members that say nothing (dead machines, cut links); one that has answered since is
@@ -447,8 +449,8 @@
                 self._actions.append(api.Cancel(held.request.id, attempt.number))
                 self._close(held, attempt)
                 self._again(now, held, attempt, False)
-        elif now + attempt.patience < held.deadline:
-            self._after(attempt.patience, lambda then: self._look(then, held, attempt))
+        elif now + patience < held.deadline:
+            self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
     def _again(self, now: int, held: Held, attempt: Attempt, never_ran: bool) -> None:
         """One more attempt out of the retry budget, so that trouble does not feed itself; else the end."""
@@ -475,8 +477,7 @@
         if held is None or attempt is None:
             return
         self._close(held, attempt)
-        learn = self._answered if event.status is api.Status.OK else self._failed
-        learn(now, held, attempt, event)
+        (self._answered if event.status is api.Status.OK else self._failed)(now, held, attempt, event)
         if event.final:
             self._forget(event.id)
         elif event.status is api.Status.NEVER_SENT:
@@ -501,7 +502,7 @@
             self._pace.seen(spec.name, float(event.took))
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
         used = self._members.get(attempt.cache if hit else attempt.source)
-        if used and (hit or filled):  # hits come late where too many share its link, fills where at the source
+        if used and (hit or filled):  # late hits speak of the cache, late fills of the source
             used.ease = min(EASE_MOST, max(EASE_LEAST, used.ease + EASE_STEP * (LATE_SHARE - late)))
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
@@ -530,7 +531,7 @@
             case api.Status.TURNED_AWAY if note is api.Note.ORIGIN_FAILED:
                 self._blame(now, held, self._origin, 1.0)
             case api.Status.TURNED_AWAY if note in SOURCE_FAILED or (heard and not told):
-                self._blame(now, held, source, 0.6 if note is api.Note.SOURCE_REFUSED else 1.0)
+                self._blame(now, held, source, 0.7)
             case api.Status.TURNED_AWAY:
                 self._blame(now, held, cache, 0.4)
             case api.Status.TIMED_OUT:
