--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -534,9 +534,9 @@
                 self._blame(now, held, source, 0.7)
             case api.Status.TURNED_AWAY:
                 self._blame(now, held, cache, 0.4)
-            case api.Status.TIMED_OUT:
-                self._blame(now, held, *((source, 0.5) if heard else (cache, 1.0)))
-            case api.Status.ERROR | api.Status.NOT_CONNECTED | api.Status.BROKEN_OFF:
+            case api.Status.TIMED_OUT | api.Status.ERROR if heard:  # a fill broke off late
+                self._blame(now, held, source, 0.5)
+            case api.Status.TIMED_OUT | api.Status.ERROR | api.Status.NOT_CONNECTED | api.Status.BROKEN_OFF:
                 self._blame(now, held, cache, 1.0)
 
     def _give_up(self, held: Held) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -134,6 +134,16 @@
     assert again.cache == first.cache and again.source != first.source
 
 
+def test_late_error_of_a_cache_that_answers_others_is_its_sources() -> None:
+    """Incident ic4de60: fills that broke off after seconds had caches suspended that were well."""
+    front = Front(make_settings())
+    first = fetches(front.ask("1"))[0]
+    front.now += MS
+    front.router._members[first.cache].works(front.now)
+    again = fetches(front.end("1", 0, Status.ERROR))[0]
+    assert again.cache == first.cache and again.source != first.source
+
+
 def test_retry_budget_ends_in_an_answer_at_once() -> None:
     """Guards against trouble that feeds itself with further attempts."""
     front = Front(make_settings())
