--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -441,8 +441,8 @@
         """
         if self._held.get(held.request.id) is not held or held.begun or attempt.number not in held.out:
             return
-        asked = {a: self._members.get(a) for a in (attempt.cache, attempt.source)}
-        silent = [a for a, member in asked.items() if not member or member.heard < attempt.sent]
+        asks = [attempt.cache] + [attempt.source] * (held.left is None)  # a known name may well be a hit
+        silent = [a for a in asks if a not in self._members or self._members[a].heard < attempt.sent]
         if silent and self.settings.may_cancel and held.spec.effect is api.Effect.SAFE:
             self._blame(now, held, silent[0], 1.0)
             if self._retries >= 1 and held.sends < self.settings.max_attempts:
