Under pressure a name not known lately costs three times

Told from plain overload by hits being quick. Conclusion: kept; may hurt where many names are new on purpose, as after a release.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -29,7 +29,7 @@
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
 # Pressure: its step, the full (or late) share it leaves alone, its ceiling, and the cut that goes with it.
-PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.1, 0.9, 4.0
+PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT, FILL_COST = 0.04, 0.1, 0.9, 4.0, 3.0  # unknown names need fills
 EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.05, 0.3, 1.5, SECOND // 2  # when refused clients come back
 
 
@@ -328,7 +328,7 @@
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._give_up(held))
         caches = (self._members[address] for address in self._caches.order(name))
         self._pressure.learn(all(m.open >= self._crowd(now, m) for m in caches if m.fit(now)))
-        cost = (self._sized(request) or self._work(spec)) / spec.worth
+        cost = (self._sized(request) or self._work(spec)) / spec.worth * (1 if left is not None else FILL_COST)
         if self._pressure.refuses(cost, bool(request.size_kb)):
             self._give_up(held)
         else:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -318,6 +318,17 @@
     assert front.router._pressure.level > 0.5
 
 
+def test_under_pressure_names_that_need_fills_go_first() -> None:
+    """Incident i7b274b: caches held full by hanging fills refused hits and misses alike."""
+    front = Front(make_settings())
+    for index in range(40):
+        front.ask(f"warm{index}", "known", size_kb=50.0)
+        front.do(api.ClientLeft(f"warm{index}"))
+    front.router._pressure.level = 0.7  # cuts at 1.7 times the mean cost
+    assert fetches(front.ask("1", "known"))
+    assert finals(front.ask("2", "unknown"))
+
+
 def test_second_start_of_a_member_starts_its_health_anew() -> None:
     front = Front(make_settings())
     home = fetches(front.ask("0"))[0].cache
