--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -28,8 +28,8 @@
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
-# Pressure: its step, the full (or late) share it leaves alone, its ceiling, and the cut that goes with it.
-PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT, FILL_COST = 0.04, 0.1, 0.9, 4.0, 3.0  # unknown names need fills
+# Pressure: step, full (or late) share it leaves alone, ceiling, cut, and what a likely fill costs more.
+PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT, FILL_COST = 0.04, 0.1, 0.9, 4.0, 3.0
 EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.05, 0.3, 1.5, SECOND // 2  # when refused clients come back
 
 
@@ -327,8 +327,8 @@
         # Rule 1: whatever else happens, the answer goes out before the client's time is up.
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._give_up(held))
         caches = (self._members[address] for address in self._caches.order(name))
-        self._pressure.learn(all(m.open >= self._crowd(now, m) for m in caches if m.fit(now)))
-        cost = (self._sized(request) or self._work(spec)) / spec.worth * (1 if left is not None else FILL_COST)
+        self._pressure.learn(all(m.open + 1 > self._crowd(now, m) for m in caches if m.fit(now)))
+        cost = (self._sized(request) or self._work(spec)) / spec.worth * (FILL_COST if left is None else 1)
         if self._pressure.refuses(cost, bool(request.size_kb)):
             self._give_up(held)
         else:
@@ -387,7 +387,7 @@
         usable = [a for a in order if self._room(now, self._members[a], work)]
         rest = [a for a in usable if a not in held.avoid]
         fit = [a for a in rest if self._members[a].fit(now)]
-        free = [a for a in fit if self._members[a].open < self._crowd(now, self._members[a])]
+        free = [a for a in fit if self._members[a].open + 1 <= self._crowd(now, self._members[a])]
         return next(iter(free or fit or rest or usable), None)
 
     def _may_repeat(self, now: int, held: Held, target: str) -> bool:
