Late fills tighten the cache's bound as well as the source's

Told from a slow source by all sources being late alike. It may refuse too much where one source alone is slow.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -501,9 +501,9 @@
         if hit and not size:
             self._pace.seen(spec.name, float(event.took))
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
-        used = self._members.get(attempt.cache if hit else attempt.source)
-        if used and (hit or filled):  # late hits speak of the cache, late fills of the source
-            used.ease = min(EASE_MOST, max(EASE_LEAST, used.ease + EASE_STEP * (LATE_SHARE - late)))
+        for used in {attempt.cache: 0, attempt.source: 0} if filled else {attempt.cache: 0} if hit else {}:
+            if member := self._members.get(used):  # late hits speak of the cache, late fills of both ends
+                member.ease = min(EASE_MOST, max(EASE_LEAST, member.ease + EASE_STEP * (LATE_SHARE - late)))
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -329,6 +329,16 @@
     assert finals(front.ask("2", "unknown"))
 
 
+def test_late_fills_tighten_the_bounds_of_cache_and_source() -> None:
+    """Incident i36c20f: links in were full, fills came late, hits did not."""
+    front = Front(make_settings())
+    fetch = fetches(front.ask("1"))[0]
+    before = [front.router._crowd(front.now, front.router._members[a]) for a in (fetch.cache, fetch.source)]
+    front.end("1", 0, OK, note=Note.FILLED, took=2 * SECOND)
+    after = [front.router._crowd(front.now, front.router._members[a]) for a in (fetch.cache, fetch.source)]
+    assert after[0] < before[0] and after[1] < before[1]
+
+
 def test_second_start_of_a_member_starts_its_health_anew() -> None:
     front = Front(make_settings())
     home = fetches(front.ask("0"))[0].cache
