--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -22,7 +22,7 @@
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
 # Own open fills that make placement skip a cache: links' worth, over the location's fronts; and a source.
-CROWD, USUAL_LINK, CROWD_SOURCE, USUAL_PARENT = 1.25, 8.0, 3.0, 32.0
+CROWD, USUAL_LINK, CROWD_SOURCE, USUAL_PARENT = 1.5, 6.5, 3.0, 32.0
 # Health: failures in a row or failing share that suspend a member, and how long until its trial request.
 STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
