--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -30,7 +30,7 @@
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
 # Pressure: step, full (or late) share it leaves alone, ceiling, cut, and what a likely fill costs more.
 PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT, FILL_COST = 0.04, 0.1, 0.9, 4.0, 3.0
-EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.1, 0.3, 1.5, SECOND // 2  # when refused clients come back
+EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.1, 0.5, 1.5, SECOND // 2  # when refused clients come back
 
 
 class Levels:
