--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -501,7 +501,8 @@
         if hit and not size:
             self._pace.seen(spec.name, float(event.took))
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
-        for used in {attempt.cache: 0, attempt.source: 0} if filled else {attempt.cache: 0} if hit else {}:
+        long = (self._sized(held.request) or work) * 2 > spec.aim  # a short one is late by its wait alone
+        for used in [attempt.cache] * (hit or (filled and long)) + [attempt.source] * filled:
             if member := self._members.get(used):  # late hits speak of the cache, late fills of both ends
                 member.ease = min(EASE_MOST, max(EASE_LEAST, member.ease + EASE_STEP * (LATE_SHARE - late)))
         if held.rank and (hit or filled) and self._counts(now, held, attempt):
@@ -512,10 +513,8 @@
             levels.learn(hit, max(0.0, sample), size or 1.0)
 
     def _counts(self, now: int, held: Held, attempt: Attempt) -> bool:
-        """Whether an answer says something of the levels.
-
-        Departure: misses that no ranking could have spared (after a purge, at a cache that started lately,
-        or away from the name's own place) would drive ϑ to its ceiling, where Γ lifts every new name.
+        """Whether an answer moves the levels. Departure: misses no ranking could have spared (after a purge,
+        at a cache that started lately, away from the name's place) would drive ϑ to where Γ lifts every name.
         """
         cache, home = self._members.get(attempt.cache), self._caches.order(held.name)[:1]
         calm = now - self._purges.last(held.request) > LONGEST and home == (attempt.cache,)
