Open-fill bound with room for chance; silence suspends by its second sign

Cause: at full size a front has a twelfth of a cache and a 250th of a parent.

Room made: failure streak and share are one measure, tiers come with the settings, orders are kept while members stay the same.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -1,12 +1,13 @@
 """Every decision of a front; its settings, events and actions stand in olivepost/interface.py.
 
-Events in, actions out, no clock and no I/O. Parts: levels (f-TTL), pressure, name table, placement,
-health, purges, pace, and in `Router` the list, the warm-up budgets and the life of a request.
+No clock, no I/O. Parts: levels (f-TTL), pressure, name table, placement, health, purges; `Router` has
+the list, the warm-up budgets and the life of a request.
 """
 
+import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import heappop, heappush
@@ -21,10 +22,10 @@
 SOURCE_FAILED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
-# Own open fills that make placement skip a cache: links' worth, over the location's fronts; and a source.
-CROWD, USUAL_LINK, CROWD_SOURCE, USUAL_PARENT = 1.5, 6.5, 3.0, 32.0
-# Health: failures in a row or failing share that suspend a member, and how long until its trial request.
-STREAK, BAD_SHARE, BAD_STEP, FIRST_PAUSE, LONGEST_PAUSE = 2, 0.5, 0.2, 1 * SECOND, 4 * SECOND
+# Own open fills that make placement skip: links' worth, a link where not told; deviations for chance.
+CROWD, CHANCE = {"cache": (1.5, 6.5), "parent": (3.0, 32.0)}, 3.0
+# Health: step and bound of the failing share that suspends a member; how long until its trial request.
+BAD_STEP, BAD_SHARE, FIRST_PAUSE, LONGEST_PAUSE = 0.4, 0.6, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
@@ -119,8 +120,13 @@
 class Placement:
     """Rendezvous order of a list's members for a name, remembered."""
 
-    def __init__(self, members: Iterable[str] = ()) -> None:
-        self._members, self._orders = sorted(members), dict[str, tuple[str, ...]]()
+    def __init__(self) -> None:
+        self._members, self._orders = list[str](), dict[str, tuple[str, ...]]()
+
+    def set(self, members: list[str]) -> None:
+        """Takes the members; orders are remembered for as long as these stay the same."""
+        if members != self._members:
+            self._members, self._orders = members, {}
 
     def order(self, name: str) -> tuple[str, ...]:
         """All members, the name's own place first."""
@@ -137,9 +143,9 @@
     """A cache, parent or origin: what the list says, its health, and what was sent to it lately."""
 
     listed: api.Listed
+    role: str
     heard: int = -1  # when it last showed that it works
-    streak: float = 0.0
-    bad: float = 0.0
+    bad: float = 0.0  # share of failures lately
     pause: int = 0
     until: int = 0  # suspended until then; 0: not
     on_trial: bool = False
@@ -149,19 +155,18 @@
 
     def works(self, now: int) -> None:
         """It has answered: any suspension is over."""
-        self.heard, self.streak, self.on_trial = now, 0.0, False
+        self.heard, self.on_trial = now, False
         self.bad = 0.0 if self.until else self.bad * (1 - BAD_STEP)
         self.until = self.pause = 0
 
     def fails(self, now: int, weight: float) -> None:
-        """It has failed; a streak, a bad share or a lost trial suspends it, longer each time.
+        """It has failed; two in a row, a bad share or a lost trial suspend it, longer each time.
 
         Guards against members that are gone, silent, or answer with errors, whatever the cause; also meets
         cut links and full disks. Hurts where chance failures send a good member's names elsewhere.
         """
-        self.streak += weight
         self.bad += BAD_STEP * (weight - self.bad)
-        if self.on_trial or self.streak >= STREAK or self.bad >= BAD_SHARE:
+        if self.on_trial or self.bad >= BAD_SHARE:
             self.pause = min(LONGEST_PAUSE, 2 * self.pause) if self.until else FIRST_PAUSE
             self.until, self.on_trial = now + self.pause, False
 
@@ -187,10 +192,9 @@
 
     def last(self, request: api.Request) -> int:
         """When the object was last purged, or its group (any group where that is not told); -1: never."""
-        group, keys = request.group, self._times
-        named = [("object", request.object), ("group", group), ("group", None)]
-        every = [key for key in keys if key[0] == "group"] if group is None else []
-        return max(self._dropped, *(keys.get(key, -1) for key in (*named, *every)))
+        named = [("object", request.object), ("group", request.group), ("group", None)]
+        every = [key for key in self._times if key[0] == "group"] if request.group is None else []
+        return max(self._dropped, *(self._times.get(key, -1) for key in (*named, *every)))
 
     def oldest(self, now: int, request: api.Request) -> int | None:
         """The most that a copy's age may be, None for no bound; rule 5, on whatever path a copy comes."""
@@ -198,24 +202,6 @@
         return max(1, age) if age <= min(now, self._gone + SECOND) else None
 
 
-class Pace:
-    """What this front has seen: sending times and the work that members get done."""
-
-    def __init__(self) -> None:
-        self.work: dict[str, float] = {}  # by class: mean sending time
-        self._done: dict[str, tuple[int, float]] = {}  # by role: work done lately, fading
-
-    def seen(self, name: str, work: float) -> None:
-        """Adds one sending time."""
-        self.work[name] = self.work.get(name, work) + PACE_STEP * (work - self.work.get(name, work))
-
-    def done(self, now: int, role: str, work: float = 0.0) -> float:
-        """Adds work that a mean warm member of a role got done; returns its rate in transfers."""
-        then, total = self._done.get(role, (now, 0.0))
-        self._done[role] = now, total * max(0.0, 1 - (now - then) / PACE_MEMORY) + work
-        return self._done[role][1] / PACE_MEMORY
-
-
 @dataclass(slots=True)
 class Attempt:
     """One attempt that is out."""
@@ -252,9 +238,12 @@
         self._random = random.Random(seed)
         self._members: dict[str, Member] = {}
         self._caches, self._parents, self._origin = Placement(), Placement(), ""
-        self._warm: dict[str, str] = {}  # the role of each member that has long run
+        self._warm: dict[str, int] = {}  # members of a role that have long run
+        self._tiers = {"cache": settings.caches, "parent": settings.parents, "origin": settings.caches}
         self._levels = {name: Levels() for name in settings.classes}
-        self._names, self._purges, self._pace = NameTable(), Purges(settings.purge_done), Pace()
+        self._names, self._purges = NameTable(), Purges(settings.purge_done)
+        self._times: dict[str, float] = {}  # by class: mean sending time seen
+        self._done: dict[str, tuple[int, float]] = {}  # by role: work done lately, fading
         self._pressure = Pressure(self._random)
         self._held: dict[str, Held] = {}
         self._timers: dict[int, Callable[[int], None]] = {}
@@ -287,22 +276,24 @@
         whole = event.kind in (api.ListKind.FULL, api.ListKind.STORED)
         members = self._members = {} if whole else dict(before)
         for item in event.members:
-            known = before.get(item.address)
+            known, role = before.get(item.address), self._role(item)
             members.pop(item.address, None)
-            if known and known.listed.started == item.started and item.state is not api.State.GONE:
+            if item.state is api.State.GONE or role not in self._tiers:
+                continue
+            if known and known.listed.started == item.started:
                 known.listed, members[item.address] = item, known
-            elif item.state is not api.State.GONE:  # another process: health and warmth start anew
-                members[item.address] = Member(item)
+            else:  # another process: health and warmth start anew
+                members[item.address] = Member(item, role)
                 members[item.address].sent.extend(known.sent if known else ())
-        ready = [m.listed for m in members.values() if m.listed.state is api.State.READY]
-        roles = {m.address: self._role(m) for m in ready}
-        self._caches = Placement(a for a, role in roles.items() if role == "cache")
-        self._parents = Placement(a for a, role in roles.items() if role == "parent")
-        self._origin = min((a for a, role in roles.items() if role == "origin"), default="")
-        self._warm = {m.address: roles[m.address] for m in ready if not m.started}
-        if s.ask_for_list and event.kind in (api.ListKind.STORED, api.ListKind.FAILED):
-            wait = s.ask_within // 4 if event.kind is api.ListKind.FAILED else 0
-            self._after(wait, lambda now: self._actions.append(api.Subscribe()))
+        ready = sorted(a for a, m in members.items() if m.listed.state is api.State.READY)
+        by_role = {role: [a for a in ready if members[a].role == role] for role in self._tiers}
+        self._caches.set(by_role["cache"])
+        self._parents.set(by_role["parent"])
+        self._origin = next(iter(by_role["origin"]), "")
+        self._warm = {role: sum(not members[a].listed.started for a in by_role[role]) for role in by_role}
+        waits = {api.ListKind.STORED: 0, api.ListKind.FAILED: s.ask_within // 4}
+        if s.ask_for_list and event.kind in waits:
+            self._after(waits[event.kind], lambda now: self._actions.append(api.Subscribe()))
 
     def _role(self, listed: api.Listed) -> str:
         if listed.kind and listed.kind in (self.settings.parent_kind, self.settings.origin_kind):
@@ -321,14 +312,14 @@
                 rank = TOP
             self._names.put(name, now + int(levels.lifetime()), rank, request.size_kb or 1.0)
         if request.size_kb:
-            self._pace.seen(spec.name, self._sized(request))
+            self._seen(spec, self._sized(request))
         self._retries = min(RETRY_SAVED, self._retries + RETRY_EARN * (1 - self._pressure.level))
         held = self._held[request.id] = Held(request, spec, name, now + request.ttl, rank, left)
         # Rule 1: whatever else happens, the answer goes out before the client's time is up.
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._give_up(held))
         caches = (self._members[address] for address in self._caches.order(name))
         self._pressure.learn(all(m.open + 1 > self._crowd(now, m) for m in caches if m.fit(now)))
-        cost = (self._sized(request) or self._work(spec)) / spec.worth * (FILL_COST if left is None else 1)
+        cost = self._own(held) / spec.worth * (FILL_COST if left is None else 1)
         if self._pressure.refuses(cost, bool(request.size_kb)):
             self._give_up(held)
         else:
@@ -346,7 +337,21 @@
 
     def _work(self, spec: api.ClassSettings) -> float:
         """The class's mean sending time; until something is known, its aim."""
-        return self._pace.work.get(spec.name, float(spec.aim))
+        return self._times.get(spec.name, float(spec.aim))
+
+    def _seen(self, spec: api.ClassSettings, span: float) -> None:
+        mean = self._times.get(spec.name, span)
+        self._times[spec.name] = mean + PACE_STEP * (span - mean)
+
+    def _bear(self, now: int, role: str, work: float = 0.0) -> float:
+        """Adds work that a mean warm member of a role got done; returns its rate in transfers."""
+        then, total = self._done.get(role, (now, 0.0))
+        self._done[role] = now, total * max(0.0, 1 - (now - then) / PACE_MEMORY) + work
+        return self._done[role][1] / PACE_MEMORY
+
+    def _own(self, held: Held) -> float:
+        """The request's own sending time, its class's where that is not told."""
+        return self._sized(held.request) or self._work(held.spec)
 
     def _room(self, now: int, member: Member, work: float) -> bool:
         """Rule 4: whether a cold member's budget, this front's part of it, bears one more attempt.
@@ -354,32 +359,31 @@
         Guards every window: the capacity is that of the window's start. The link is guessed from a weight or
         the work that warm members get done. Hurts where members are much larger than they have shown.
         """
-        s, role, window = self.settings, self._role(member.listed), self.settings.fall_window
+        tier, window = self._tiers[member.role], self.settings.fall_window
         while member.sent and member.sent[0][0] <= now - window:
             member.sent.popleft()
-        share, parent = self._share(now - window, member), role == "parent"
-        fronts = max(1, s.fronts if parent else s.zone_fronts)
-        multiple = s.parent_fall_multiple if parent else s.fall_multiple
-        told = member.listed.weight * s.weights_told / fronts
-        link = max(LEAST_LINK / fronts, told, self._pace.done(now, role))
-        return share >= 1 or sum(cell[1] for cell in member.sent) + work <= multiple * share * link * window
+        share = self._share(now - window, member)
+        told = member.listed.weight * self.settings.weights_told / tier.fronts
+        link = max(LEAST_LINK / tier.fronts, told, self._bear(now, member.role))
+        spent = sum(cell[1] for cell in member.sent) + work
+        return share >= 1 or spent <= tier.fall_multiple * share * link * window
 
     def _share(self, now: int, member: Member) -> float:
         """The part of its link that a member surely has by now, from its start on."""
-        s, role = self.settings, self._role(member.listed)
-        floor, warm = s.cold_from, max(1, s.warm_within)
-        if role == "parent":
-            floor, warm = s.parent_cold_from, max(1, s.parent_warm_within)
-        age = now - member.listed.started if member.listed.started and role != "origin" else warm
-        return min(1.0, floor + (1 - floor) * max(0, age) / warm)
+        tier, started = self._tiers[member.role], member.listed.started
+        age = now - started if started and member.role != "origin" else tier.warm_within
+        return min(1.0, tier.cold_from + (1 - tier.cold_from) * max(0, age) / tier.warm_within)
 
     def _crowd(self, now: int, member: Member) -> float:
-        """The open-fill bound: of the link it has by now, as far as its answers have lately come in time."""
-        s, most, usual, fronts = self.settings, CROWD, USUAL_LINK, self.settings.zone_fronts
-        if self._role(member.listed) == "parent":
-            most, usual, fronts = CROWD_SOURCE, USUAL_PARENT, s.fronts
-        link = self._share(now, member) * (member.listed.weight if s.weights_told else usual)
-        return max(1.0, member.ease * most * link / max(1, fronts))
+        """The open-fill bound: of the link it has by now, as far as its answers have lately come in time.
+
+        The share of one of many fronts, with room for chance: evenly thinned arrivals come in clumps, and a
+        bound of the bare share would send names away from caches that are well. None for a front alone.
+        """
+        (most, usual), fronts = CROWD[member.role], self._tiers[member.role].fronts
+        link = self._share(now, member) * (member.listed.weight if self.settings.weights_told else usual)
+        share = member.ease * most * link / fronts
+        return max(1.0, share + CHANCE * math.sqrt(share * (1 - 1 / fronts)))
 
     def _pick(self, now: int, order: tuple[str, ...], held: Held) -> str | None:
         """The first fit member below its bound; all skipped, the first that may be used at all."""
@@ -425,7 +429,7 @@
             member.sent.append(cell)
             member.on_trial = member.until > 0
             fill = cell if address != cache else None
-        patience = int(PATIENCE * spec.aim + STRETCH * (self._sized(request) or self._work(spec)))
+        patience = int(PATIENCE * spec.aim + STRETCH * self._own(held))
         attempt = Attempt(held.sends, cache, source, now, None if renew else fill)
         held.out[held.sends] = attempt
         held.sends += 1
@@ -434,28 +438,29 @@
             self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
     def _look(self, now: int, held: Held, attempt: Attempt, patience: int) -> None:
-        """An attempt is out for long: leave it where its cache, or its source, has been silent all the while.
+        """An attempt is out for long: its cache, if silent all the while, is blamed, and left once suspended.
 
-        Guards against members that say nothing (dead machines, cut links); one that has answered since is
-        waited for. Hurts where traffic is so thin that silence means nothing: good attempts are sent again.
+        Guards against members that say nothing (dead machines, cut links). One silence proves little where a
+        front has few requests: it is waited for, and the second one, or its own next look, suspends. A known
+        name's source is not asked. Hurts where a member is silent for one long answer: others go elsewhere.
         """
-        if self._held.get(held.request.id) is not held or held.begun or attempt.number not in held.out:
+        if held.begun or attempt.number not in held.out:
             return
-        asks = [attempt.cache] + [attempt.source] * (held.left is None)  # a known name may well be a hit
-        silent = [a for a in asks if a not in self._members or self._members[a].heard < attempt.sent]
-        if silent and self.settings.may_cancel and held.spec.effect is api.Effect.SAFE:
-            self._blame(now, held, silent[0], 1.0)
-            if self._retries >= 1 and held.sends < self.settings.max_attempts:
-                self._actions.append(api.Cancel(held.request.id, attempt.number))
-                self._close(held, attempt)
-                self._again(now, held, attempt, False)
+        asked = self._members.get(attempt.cache)
+        if (silent := asked is None or asked.heard < attempt.sent) and asked:
+            asked.fails(now, 1.0)
+        may = self.settings.may_cancel and held.spec.effect is api.Effect.SAFE and self._retries >= 1
+        if silent and (asked is None or asked.until) and may and held.sends < self.settings.max_attempts:
+            held.avoid.add(attempt.cache)
+            self._actions.append(api.Cancel(held.request.id, attempt.number))
+            self._close(held, attempt)
+            self._again(now, held, attempt)
         elif now + patience < held.deadline:
             self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
-    def _again(self, now: int, held: Held, attempt: Attempt, never_ran: bool) -> None:
+    def _again(self, now: int, held: Held, attempt: Attempt, never_ran: bool = False) -> None:
         """One more attempt out of the retry budget, so that trouble does not feed itself; else the end."""
-        if not never_ran:
-            held.ran.append((attempt.sent, attempt.cache))
+        held.ran += [] if never_ran else [(attempt.sent, attempt.cache)]
         self._send(now, held, price=1)
 
     def _blame(self, now: int, held: Held, address: str, weight: float) -> None:
@@ -463,9 +468,8 @@
         if address in self._members:
             self._members[address].fails(now, weight)
 
-    def _close(self, held: Held | None, attempt: Attempt) -> None:
-        if held:
-            held.out.pop(attempt.number, None)
+    def _close(self, held: Held, attempt: Attempt) -> None:
+        held.out.pop(attempt.number, None)
         for address in dict.fromkeys((attempt.cache, attempt.source)):
             if address in self._members:
                 self._members[address].open = max(0, self._members[address].open - 1)
@@ -480,8 +484,6 @@
         (self._answered if event.status is api.Status.OK else self._failed)(now, held, attempt, event)
         if event.final:
             self._forget(event.id)
-        elif event.status is api.Status.NEVER_SENT:
-            self._give_up(held)
         elif event.status is not api.Status.OK and not held.out:
             self._again(now, held, attempt, event.status in api.NEVER_RAN)
 
@@ -494,14 +496,14 @@
             member = self._members.get(address)
             if member and shown:
                 member.works(now)
-                if self._warm.get(address) == role:
-                    self._pace.done(now, role, work / list(self._warm.values()).count(role))
+                if not member.listed.started and member.role == role:
+                    self._bear(now, role, work / max(1, self._warm[role]))
         if hit and attempt.fill:
             attempt.fill[1] = 0.0  # no fill came to the source
         if hit and not size:
-            self._pace.seen(spec.name, float(event.took))
+            self._seen(spec, float(event.took))
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
-        long = (self._sized(held.request) or work) * 2 > spec.aim  # a short one is late by its wait alone
+        long = self._own(held) * 2 > spec.aim  # a short one is late by its wait alone
         for used in [attempt.cache] * (hit or (filled and long)) + [attempt.source] * filled:
             if member := self._members.get(used):  # late hits speak of the cache, late fills of both ends
                 member.ease = min(EASE_MOST, max(EASE_LEAST, member.ease + EASE_STEP * (LATE_SHARE - late)))
@@ -527,12 +529,9 @@
         match event.status:
             case api.Status.NO_COPY:
                 held.avoid.add(source)
-            case api.Status.TURNED_AWAY if note is api.Note.ORIGIN_FAILED:
-                self._blame(now, held, self._origin, 1.0)
-            case api.Status.TURNED_AWAY if note in SOURCE_FAILED or (heard and not told):
-                self._blame(now, held, source, 0.7)
-            case api.Status.TURNED_AWAY:
-                self._blame(now, held, cache, 0.4)
+            case api.Status.TURNED_AWAY if note is not api.Note.ORIGIN_FAILED:
+                sources = note in SOURCE_FAILED or (heard and not told)
+                self._blame(now, held, source if sources else cache, 0.7 if sources else 0.4)
             case api.Status.TIMED_OUT | api.Status.ERROR if heard:  # a fill broke off late
                 self._blame(now, held, source, 0.5)
             case api.Status.TIMED_OUT | api.Status.ERROR | api.Status.NOT_CONNECTED | api.Status.BROKEN_OFF:
@@ -552,8 +551,8 @@
         self._forget(held.request.id)
 
     def _forget(self, request_id: str) -> None:
-        held = self._held.pop(request_id, None)
-        for attempt in list(held.out.values()) if held else ():
-            if self.settings.may_cancel:
-                self._actions.append(api.Cancel(request_id, attempt.number))
-            self._close(held, attempt)
+        if held := self._held.pop(request_id, None):
+            for attempt in list(held.out.values()):
+                if self.settings.may_cancel:
+                    self._actions.append(api.Cancel(request_id, attempt.number))
+                self._close(held, attempt)
--- a/olivepost/interface.py
+++ b/olivepost/interface.py
@@ -95,14 +95,24 @@
     uncacheable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """All caches of the location, or all parents: the fronts that share them, and how they start."""
+
+    fronts: int
+    cold_from: float
+    warm_within: int
+    fall_multiple: float
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """What a front is told when it starts."""
 
     classes: dict[str, ClassSettings]
     zone: str
-    fronts: int
-    zone_fronts: int
+    caches: Tier
+    parents: Tier
     parent_kind: str
     origin_kind: str
     weights_told: bool
@@ -113,13 +123,7 @@
     tells_hits: bool
     tells_causes: bool
     purge_done: int
-    parent_cold_from: float
-    parent_warm_within: int
-    parent_fall_multiple: float
-    cold_from: float
-    warm_within: int
     fall_window: int
-    fall_multiple: float
     ask_for_list: bool
     ask_within: int
     max_attempts: int
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,12 +25,11 @@
 def make_settings(*classes: api.ClassSettings, **changes: Any) -> api.Settings:
     """A location with one front, a cache tier, parents and an origin."""
     settings = api.Settings(
-        classes={spec.name: spec for spec in classes or (make_class(),)}, zone="west", fronts=1,
-        zone_fronts=1, parent_kind="parent", origin_kind="origin", weights_told=False,
-        pace_kb_per_s=1000.0, can_join=True, direct=True, siblings_as_source="off", tells_hits=True,
-        tells_causes=False, purge_done=6 * SECOND, parent_cold_from=0.1, parent_warm_within=20 * SECOND,
-        parent_fall_multiple=2.0, cold_from=0.2, warm_within=10 * SECOND, fall_window=2 * SECOND,
-        fall_multiple=2.0, ask_for_list=False, ask_within=10 * SECOND, max_attempts=6, may_cancel=True,
+        classes={spec.name: spec for spec in classes or (make_class(),)}, zone="west",
+        caches=api.Tier(1, 0.2, 10 * SECOND, 2.0), parents=api.Tier(1, 0.1, 20 * SECOND, 2.0),
+        parent_kind="parent", origin_kind="origin", weights_told=False, pace_kb_per_s=1000.0, can_join=True,
+        direct=True, siblings_as_source="off", tells_hits=True, tells_causes=False, purge_done=6 * SECOND,
+        fall_window=2 * SECOND, ask_for_list=False, ask_within=10 * SECOND, max_attempts=6, may_cancel=True,
         second_copies=False, retry_after=True, max_retry_after=SECOND, tick=2 * MS,
     )
     return dataclasses.replace(settings, **changes)
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -117,7 +117,9 @@
 
 def test_placement_is_stable_and_moves_little() -> None:
     names = [f"n{i}" for i in range(400)]
-    three, two = Placement(["a", "b", "c"]), Placement(["c", "a"])
+    three, two = Placement(), Placement()
+    three.set(["a", "b", "c"])
+    two.set(["a", "c"])
     firsts = {name: three.order(name)[0] for name in names}
     assert all(count > 90 for count in map(list(firsts.values()).count, "abc"))
     assert all(two.order(n)[0] == home for n, home in firsts.items() if home != "b")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -363,7 +363,7 @@
 
 
 def test_members_without_a_start_are_never_cold() -> None:
-    front = Front(make_settings(warm_within=0, parent_warm_within=0))
+    front = Front(make_settings(caches=api.Tier(1, 0.0, 1, 2.0), parents=api.Tier(1, 0.0, 1, 2.0)))
     assert fetches(front.ask("1"))[0].source in {"p:1", "q:1"}
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -35,7 +35,8 @@
     """Plays the other side and checks each action against the rules."""
 
     def __init__(self, direct: bool) -> None:
-        self.settings = make_settings(*CLASSES, direct=direct, fronts=2, zone_fronts=2)
+        self.settings = make_settings(*CLASSES, direct=direct, caches=api.Tier(2, 0.2, 10 * SECOND, 2.0),
+                                      parents=api.Tier(2, 0.1, 20 * SECOND, 2.0))
         self.router = Router(self.settings, 3)
         self.now = START
         self.states = dict.fromkeys(CACHES + PARENTS, api.State.READY)
@@ -109,9 +110,8 @@
         if not self.started.get(address):
             return
         s, age = self.settings, self.now - self.started[address]
-        floor, warm = s.cold_from, s.warm_within
-        if address in PARENTS:
-            floor, warm = s.parent_cold_from, s.parent_warm_within
+        tier = s.parents if address in PARENTS else s.caches
+        floor, warm = tier.cold_from, tier.warm_within
         if age >= warm:
             return
         recent = [c for c in self.charged.get(address, []) if c[0] > self.now - s.fall_window]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -63,10 +63,10 @@
 def test_settings_are_read_in_the_fields_terms() -> None:
     settings = codec.read_settings(INFO)
     assert settings.parent_kind == "parent" and settings.origin_kind == "origin"
-    assert settings.zone_fronts == 2 and settings.fronts == 3
+    assert settings.caches.fronts == 2 and settings.parents.fronts == 3
     assert settings.classes["order"].effect is api.Effect.KEYED
     assert settings.classes["order"].scope is api.Scope.ZONE
-    assert settings.classes["image"].grace == 30 and settings.cold_from == 0.2
+    assert settings.classes["image"].grace == 30 and settings.caches.cold_from == 0.2
 
 
 @pytest.mark.parametrize(("name", "status"), codec.STATUSES.items())
