--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -24,8 +24,9 @@
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
 # Own open fills that make placement skip: links' worth, a link where not told; deviations for chance.
 CROWD, CHANCE = {"cache": (1.5, 6.5), "parent": (3.0, 32.0)}, 3.0
-# Health: step and bound of the failing share that suspends a member; how long until its trial request.
-BAD_STEP, BAD_SHARE, FIRST_PAUSE, LONGEST_PAUSE = 0.4, 0.6, 1 * SECOND, 4 * SECOND
+# Health: what an answer leaves of a doubt, a failure's part of it, odds against a member that is dead,
+# and how long a suspended one waits for its trial request.
+EASED, FAILURE, DEAD_ODDS, FIRST_PAUSE, LONGEST_PAUSE = 0.6, 0.5, 200.0, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
@@ -145,7 +146,7 @@
     listed: api.Listed
     role: str
     heard: int = -1  # when it last showed that it works
-    bad: float = 0.0  # share of failures lately
+    doubt: float = 0.0  # what its failures and silences lately say
     pause: int = 0
     until: int = 0  # suspended until then; 0: not
     on_trial: bool = False
@@ -156,17 +157,17 @@
     def works(self, now: int) -> None:
         """It has answered: any suspension is over."""
         self.heard, self.on_trial = now, False
-        self.bad = 0.0 if self.until else self.bad * (1 - BAD_STEP)
+        self.doubt = 0.0 if self.until else self.doubt * EASED
         self.until = self.pause = 0
 
     def fails(self, now: int, weight: float) -> None:
-        """It has failed; two in a row, a bad share or a lost trial suspend it, longer each time.
+        """It has failed or stayed silent; enough of it, or a lost trial, suspends it, longer each time.
 
         Guards against members that are gone, silent, or answer with errors, whatever the cause; also meets
         cut links and full disks. Hurts where chance failures send a good member's names elsewhere.
         """
-        self.bad += BAD_STEP * (weight - self.bad)
-        if self.on_trial or self.bad >= BAD_SHARE:
+        self.doubt += weight
+        if self.on_trial or self.doubt >= 1:
             self.pause = min(LONGEST_PAUSE, 2 * self.pause) if self.until else FIRST_PAUSE
             self.until, self.on_trial = now + self.pause, False
 
@@ -242,6 +243,7 @@
         self._tiers = {"cache": settings.caches, "parent": settings.parents, "origin": settings.caches}
         self._levels = {name: Levels() for name in settings.classes}
         self._names, self._purges = NameTable(), Purges(settings.purge_done)
+        self._slow = 0.1  # share of answers that outlast their patience
         self._times: dict[str, float] = {}  # by class: mean sending time seen
         self._done: dict[str, tuple[int, float]] = {}  # by role: work done lately, fading
         self._pressure = Pressure(self._random)
@@ -429,7 +431,7 @@
             member.sent.append(cell)
             member.on_trial = member.until > 0
             fill = cell if address != cache else None
-        patience = int(PATIENCE * spec.aim + STRETCH * self._own(held))
+        patience = self._patience(held)
         attempt = Attempt(held.sends, cache, source, now, None if renew else fill)
         held.out[held.sends] = attempt
         held.sends += 1
@@ -437,18 +439,21 @@
         if patience < left:
             self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
+    def _patience(self, held: Held) -> int:
+        return int(PATIENCE * held.spec.aim + STRETCH * self._own(held))
+
     def _look(self, now: int, held: Held, attempt: Attempt, patience: int) -> None:
         """An attempt is out for long: its cache, if silent all the while, is blamed, and left once suspended.
 
-        Guards against members that say nothing (dead machines, cut links). One silence proves little where a
-        front has few requests: it is waited for, and the second one, or its own next look, suspends. A known
-        name's source is not asked. Hurts where a member is silent for one long answer: others go elsewhere.
+        Guards against members that say nothing (dead machines, cut links). Where a front has few requests one
+        silence proves little, and less the more good answers take as long: each is evidence by that share.
+        Hurts where a member is silent for a few long answers in a row: others go elsewhere for a while.
         """
         if held.begun or attempt.number not in held.out:
             return
         asked = self._members.get(attempt.cache)
         if (silent := asked is None or asked.heard < attempt.sent) and asked:
-            asked.fails(now, 1.0)
+            asked.fails(now, -math.log(max(0.02, self._slow)) / math.log(DEAD_ODDS))
         may = self.settings.may_cancel and held.spec.effect is api.Effect.SAFE and self._retries >= 1
         if silent and (asked is None or asked.until) and may and held.sends < self.settings.max_attempts:
             held.avoid.add(attempt.cache)
@@ -466,7 +471,7 @@
     def _blame(self, now: int, held: Held, address: str, weight: float) -> None:
         held.avoid.add(address)
         if address in self._members:
-            self._members[address].fails(now, weight)
+            self._members[address].fails(now, FAILURE * weight)
 
     def _close(self, held: Held, attempt: Attempt) -> None:
         held.out.pop(attempt.number, None)
@@ -481,6 +486,8 @@
         if held is None or attempt is None:
             return
         self._close(held, attempt)
+        if event.status is api.Status.OK:
+            self._slow += PACE_STEP * ((event.took > self._patience(held)) - self._slow)
         (self._answered if event.status is api.Status.OK else self._failed)(now, held, attempt, event)
         if event.final:
             self._forget(event.id)
