A cache is asked first; slow fills raise a level of their own

Two changes: a warm cache is first asked for what it has, so a miss, a silent cache and a slow source are told apart; and late fills raise a level like the one of full caches, which refuses the dearest fills after a miss and lets hits go on.

Mended: a trial whose attempt ended without a verdict barred its member for good.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -19,19 +19,17 @@
 LONGEST, STEP, SIZE_STEP, EPSILON = 60 * SECOND, 0.01, 0.0001, 0.1
 HIT_TARGET, SIZE_TARGET, FIRST_LEVEL, FIRST_SHALLOW = 0.8, 5 * SECOND, 0.5, 0.0
 LOW, MIDDLE, TOP = 1, 2, 3
-SOURCE_FAILED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
 # Own open fills that make placement skip: links' worth, a link where not told; deviations for chance.
 CROWD, CHANCE = {"cache": (1.5, 6.5), "parent": (3.0, 32.0)}, 3.0
-# Health: what an answer leaves of a doubt, a failure's part of it, odds against a member that is dead,
-# and how long a suspended one waits for its trial request.
-EASED, FAILURE, DEAD_ODDS, FIRST_PAUSE, LONGEST_PAUSE = 0.6, 0.5, 200.0, 1 * SECOND, 4 * SECOND
+# Health: what an answer leaves of doubt, odds against a dead member, a suspended one's wait for its trial.
+EASED, DEAD_ODDS, FIRST_PAUSE, LONGEST_PAUSE = 0.6, 200.0, 1 * SECOND, 4 * SECOND
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
-# Pressure: step, full (or late) share it leaves alone, ceiling, cut, and what a likely fill costs more.
-PRESS_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT, FILL_COST = 0.04, 0.1, 0.9, 4.0, 3.0
+# Pressure: steps, full (or late) share it leaves alone, ceiling, cut.
+PRESS_STEP, INLET_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.2, 0.1, 0.9, 4.0
 EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.1, 0.5, 1.5, SECOND // 2  # when refused clients come back
 
 
@@ -66,12 +64,12 @@
     ϑ does: step·(full − target), clamped. Hurts where caches are held full by silence: the dear go first.
     """
 
-    def __init__(self, draw: random.Random) -> None:
-        self.level, self._mean, self._draw = 0.0, 0.0, draw
+    def __init__(self, draw: random.Random, step: float) -> None:
+        self.level, self._mean, self._draw, self._step = 0.0, 0.0, draw, step
 
     def learn(self, full: bool) -> None:
-        """Moves the level by one arrival that finds every cache at its bound, or not."""
-        self.level = min(PRESS_MOST, max(0.0, self.level + PRESS_STEP * (full - LATE_SHARE)))
+        """Moves the level by one arrival that finds every cache at its bound, or one fill that is slow."""
+        self.level = min(PRESS_MOST, max(0.0, self.level + self._step * (full - LATE_SHARE)))
 
     def refuses(self, cost: float, known: bool) -> bool:
         """Whether a request of such work for its worth, size known or guessed, is too dear now."""
@@ -113,9 +111,8 @@
             self._ends = sorted((entry[0], kept) for kept, entry in self._names.items())
 
     def _drop(self, name: str) -> None:
-        entry = self._names.pop(name, None)
-        if entry:
-            self._bytes[entry[1]] -= entry[2]
+        _, rank, size = self._names.pop(name, (0, LOW, 0.0))
+        self._bytes[rank] -= size
 
 
 class Placement:
@@ -152,7 +149,7 @@
     on_trial: bool = False
     open: int = 0
     ease: float = 1.0  # of the open-fill bound: down with late hits, up with timely ones
-    sent: deque[list[float]] = field(default_factory=lambda: deque(maxlen=MOST_SENT))  # [time, work]
+    sent: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=MOST_SENT))  # [time, work]
 
     def works(self, now: int) -> None:
         """It has answered: any suspension is over."""
@@ -211,7 +208,6 @@
     cache: str
     source: str
     sent: int
-    fill: list[float] | None  # its place in the source's budget, given back after a hit
 
 
 @dataclass(slots=True)
@@ -227,6 +223,7 @@
     out: dict[int, Attempt] = field(default_factory=dict)
     sends: int = 0
     begun: bool = False
+    missed: str = ""  # the cache that was found to lack the object
     avoid: set[str] = field(default_factory=set)
     ran: list[tuple[int, str]] = field(default_factory=list)  # attempts that may have run
 
@@ -235,8 +232,7 @@
     """One front."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
-        self._random = random.Random(seed)
+        self.settings, self._random = settings, random.Random(seed)
         self._members: dict[str, Member] = {}
         self._caches, self._parents, self._origin = Placement(), Placement(), ""
         self._warm: dict[str, int] = {}  # members of a role that have long run
@@ -246,7 +242,7 @@
         self._slow = 0.1  # share of answers that outlast their patience
         self._times: dict[str, float] = {}  # by class: mean sending time seen
         self._done: dict[str, tuple[int, float]] = {}  # by role: work done lately, fading
-        self._pressure = Pressure(self._random)
+        self._pressure, self._inlet = (Pressure(self._random, step) for step in (PRESS_STEP, INLET_STEP))
         self._held: dict[str, Held] = {}
         self._timers: dict[int, Callable[[int], None]] = {}
         self._tokens, self._retries = 0, RETRY_SAVED
@@ -280,13 +276,12 @@
         for item in event.members:
             known, role = before.get(item.address), self._role(item)
             members.pop(item.address, None)
-            if item.state is api.State.GONE or role not in self._tiers:
-                continue
             if known and known.listed.started == item.started:
-                known.listed, members[item.address] = item, known
+                known.listed = item
             else:  # another process: health and warmth start anew
-                members[item.address] = Member(item, role)
-                members[item.address].sent.extend(known.sent if known else ())
+                known = Member(item, role, sent=known.sent if known else deque(maxlen=MOST_SENT))
+            if item.state is not api.State.GONE and role in self._tiers:
+                members[item.address] = known
         ready = sorted(a for a, m in members.items() if m.listed.state is api.State.READY)
         by_role = {role: [a for a in ready if members[a].role == role] for role in self._tiers}
         self._caches.set(by_role["cache"])
@@ -298,9 +293,9 @@
             self._after(waits[event.kind], lambda now: self._actions.append(api.Subscribe()))
 
     def _role(self, listed: api.Listed) -> str:
-        if listed.kind and listed.kind in (self.settings.parent_kind, self.settings.origin_kind):
-            return "parent" if listed.kind == self.settings.parent_kind else "origin"
-        return "cache" if listed.zone == self.settings.zone else "elsewhere"
+        s = self.settings
+        kinds = {s.parent_kind: "parent", s.origin_kind: "origin", "": ""}
+        return kinds.get(listed.kind) or ("cache" if listed.zone == s.zone else "elsewhere")
 
     def _arrive(self, now: int, request: api.Request) -> None:
         """Ranks by f-TTL and sends; every request resets its name's timer."""
@@ -321,11 +316,7 @@
         self._after(max(0, request.ttl - self.settings.tick), lambda then: self._give_up(held))
         caches = (self._members[address] for address in self._caches.order(name))
         self._pressure.learn(all(m.open + 1 > self._crowd(now, m) for m in caches if m.fit(now)))
-        cost = self._own(held) / spec.worth * (FILL_COST if left is None else 1)
-        if self._pressure.refuses(cost, bool(request.size_kb)):
-            self._give_up(held)
-        else:
-            self._send(now, held)
+        self._send(now, held, pressure=self._pressure)
 
     def _sized(self, request: api.Request) -> float:
         """The request's own sending time; 0 where its size is not told."""
@@ -406,38 +397,45 @@
         same = near or spec.scope is api.Scope.ALL
         return spec.effect is api.Effect.KEYED and same and now - first < spec.window
 
-    def _send(self, now: int, held: Held, price: int = 0) -> None:
-        """Sends the next attempt, or gives up at once where none can be sent."""
+    def _send(self, now: int, held: Held, price: int = 0, pressure: Pressure | None = None) -> None:
+        """Sends the next attempt, or gives up at once where none can be sent or it is too dear."""
         s, spec, request, left = self.settings, held.spec, held.request, held.deadline - now
         cache = self._pick(now, self._caches.order(held.name), held)
         source = self._pick(now, self._parents.order(held.name), held) or self._origin
         if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         spent = held.sends >= s.max_attempts or left <= s.tick or self._retries < price
-        if cache is None or spent or not self._may_repeat(now, held, cache):
+        dear = pressure and pressure.refuses(self._own(held) / spec.worth, bool(request.size_kb))
+        if cache is None or spent or dear or not self._may_repeat(now, held, cache):
             return self._give_up(held)
         self._retries -= price
         source = source or cache
+        if self._looks(now, held, cache):
+            source = cache
         renew = spec.fresh > 0 and source != cache
         troubled = held.sends > 0 or self._members[source].until > 0
         age = spec.fresh + spec.grace * troubled if spec.fresh else 0
         bound = self._purges.oldest(now, request)
-        if bound is not None:
-            age = min(age or bound, bound)
-        fill = None
-        for address in dict.fromkeys((cache, source)):
-            member, cell = self._members[address], [float(now), self._work(spec)]
+        age = min(age or bound, bound) if bound else age
+        for address in {cache: 0, source: 0}:
+            member = self._members[address]
             member.open += 1
-            member.sent.append(cell)
+            member.sent.append((now, self._work(spec)))
             member.on_trial = member.until > 0
-            fill = cell if address != cache else None
-        patience = self._patience(held)
-        attempt = Attempt(held.sends, cache, source, now, None if renew else fill)
+        attempt = Attempt(held.sends, cache, source, now)
         held.out[held.sends] = attempt
         held.sends += 1
         self._actions.append(api.Fetch(request.id, cache, source, held.rank, left, age, s.can_join, renew))
-        if patience < left:
-            self._after(patience, lambda then: self._look(then, held, attempt, patience))
+        patience = self._patience(held)
+        self._after(patience, lambda then: self._look(then, held, attempt, patience))
+
+    def _looks(self, now: int, held: Held, cache: str) -> bool:
+        """Whether to ask a cache first for what it has. Departure: many fronts share a location, so a name
+        new here may well be kept there; a miss is known before a source is named, and silence is the cache's.
+        """
+        plain = held.rank and not held.spec.fresh and held.sends + 1 < self.settings.max_attempts
+        warm = self._share(now, self._members[cache]) >= 1
+        return bool(plain) and warm and held.missed != cache and self._members[cache].role == "cache"
 
     def _patience(self, held: Held) -> int:
         return int(PATIENCE * held.spec.aim + STRETCH * self._own(held))
@@ -451,16 +449,17 @@
         """
         if held.begun or attempt.number not in held.out:
             return
-        asked = self._members.get(attempt.cache)
-        if (silent := asked is None or asked.heard < attempt.sent) and asked:
-            asked.fails(now, -math.log(max(0.02, self._slow)) / math.log(DEAD_ODDS))
+        if attempt.source != attempt.cache and 2 * patience <= now - attempt.sent < 3 * patience:
+            self._inlet.learn(True)
+        cache = self._members.get(attempt.cache)
+        if silent := cache is not None and cache.heard < attempt.sent:
+            self._blame(now, held, attempt.cache, -math.log(max(0.02, self._slow)) / math.log(DEAD_ODDS))
         may = self.settings.may_cancel and held.spec.effect is api.Effect.SAFE and self._retries >= 1
-        if silent and (asked is None or asked.until) and may and held.sends < self.settings.max_attempts:
-            held.avoid.add(attempt.cache)
+        if silent and cache and cache.until and may and held.sends < self.settings.max_attempts:
             self._actions.append(api.Cancel(held.request.id, attempt.number))
             self._close(held, attempt)
             self._again(now, held, attempt)
-        elif now + patience < held.deadline:
+        else:
             self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
     def _again(self, now: int, held: Held, attempt: Attempt, never_ran: bool = False) -> None:
@@ -471,13 +470,13 @@
     def _blame(self, now: int, held: Held, address: str, weight: float) -> None:
         held.avoid.add(address)
         if address in self._members:
-            self._members[address].fails(now, FAILURE * weight)
+            self._members[address].fails(now, weight)
 
     def _close(self, held: Held, attempt: Attempt) -> None:
         held.out.pop(attempt.number, None)
         for address in dict.fromkeys((attempt.cache, attempt.source)):
-            if address in self._members:
-                self._members[address].open = max(0, self._members[address].open - 1)
+            if member := self._members.get(address):
+                member.open, member.on_trial = max(0, member.open - 1), False
 
     def _ended(self, now: int, event: api.Outcome) -> None:
         """Learns from an outcome; what is still owed is sent again or given up at once."""
@@ -486,11 +485,12 @@
         if held is None or attempt is None:
             return
         self._close(held, attempt)
-        if event.status is api.Status.OK:
-            self._slow += PACE_STEP * ((event.took > self._patience(held)) - self._slow)
         (self._answered if event.status is api.Status.OK else self._failed)(now, held, attempt, event)
         if event.final:
             self._forget(event.id)
+        elif event.status is api.Status.NO_COPY and attempt.source == attempt.cache != held.missed:
+            held.missed = attempt.cache
+            self._send(now, held, pressure=self._inlet)
         elif event.status is not api.Status.OK and not held.out:
             self._again(now, held, attempt, event.status in api.NEVER_RAN)
 
@@ -505,44 +505,39 @@
                 member.works(now)
                 if not member.listed.started and member.role == role:
                     self._bear(now, role, work / max(1, self._warm[role]))
-        if hit and attempt.fill:
-            attempt.fill[1] = 0.0  # no fill came to the source
         if hit and not size:
             self._seen(spec, float(event.took))
+        self._slow += PACE_STEP * ((event.took > self._patience(held)) - self._slow)
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
-        long = self._own(held) * 2 > spec.aim  # a short one is late by its wait alone
-        for used in [attempt.cache] * (hit or (filled and long)) + [attempt.source] * filled:
-            if member := self._members.get(used):  # late hits speak of the cache, late fills of both ends
-                member.ease = min(EASE_MOST, max(EASE_LEAST, member.ease + EASE_STEP * (LATE_SHARE - late)))
-        if held.rank and (hit or filled) and self._counts(now, held, attempt):
+        if filled and event.took < 2 * self._patience(held):  # else it has been counted
+            self._inlet.learn(late)
+        member = self._members.get(attempt.cache if hit else attempt.source if filled else "")
+        if member:  # late hits speak of the cache, late fills of the source
+            member.ease = min(EASE_MOST, max(EASE_LEAST, member.ease + EASE_STEP * (LATE_SHARE - late)))
+        if held.rank and (hit or filled):
             levels = self._levels[spec.name]
             sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
             if hit:
                 sample = levels.lifetime() - (held.left or 0)
             levels.learn(hit, max(0.0, sample), size or 1.0)
 
-    def _counts(self, now: int, held: Held, attempt: Attempt) -> bool:
-        """Whether an answer moves the levels. Departure: misses no ranking could have spared (after a purge,
-        at a cache that started lately, away from the name's place) would drive ϑ to where Γ lifts every name.
-        """
-        cache, home = self._members.get(attempt.cache), self._caches.order(held.name)[:1]
-        calm = now - self._purges.last(held.request) > LONGEST and home == (attempt.cache,)
-        return calm and cache is not None and not 0 <= now - cache.listed.started < LONGEST
-
     def _failed(self, now: int, held: Held, attempt: Attempt, event: api.Outcome) -> None:
         """Blames the cache, its source, or nobody; a cache heard from since is not the silent one."""
         cache, source, note, told = attempt.cache, attempt.source, event.note, self.settings.tells_causes
-        heard = cache in self._members and self._members[cache].heard >= attempt.sent
+        known = self._members.get(cache)
+        heard = cache == held.missed or (known is not None and known.heard >= attempt.sent)
         match event.status:
+            case api.Status.NO_COPY if source == cache and known:
+                known.works(now)
             case api.Status.NO_COPY:
                 held.avoid.add(source)
             case api.Status.TURNED_AWAY if note is not api.Note.ORIGIN_FAILED:
-                sources = note in SOURCE_FAILED or (heard and not told)
-                self._blame(now, held, source if sources else cache, 0.7 if sources else 0.4)
+                sources = note in (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST) or (heard and not told)
+                self._blame(now, held, source if sources else cache, 0.35 if sources else 0.2)
             case api.Status.TIMED_OUT | api.Status.ERROR if heard:  # a fill broke off late
-                self._blame(now, held, source, 0.5)
+                self._blame(now, held, source, 0.25)
             case api.Status.TIMED_OUT | api.Status.ERROR | api.Status.NOT_CONNECTED | api.Status.BROKEN_OFF:
-                self._blame(now, held, cache, 1.0)
+                self._blame(now, held, cache, 0.5)
 
     def _give_up(self, held: Held) -> None:
         """The final answer, at once; a refusal where trying again is harmless."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -83,6 +83,12 @@
         request = api.Request(request_id, "image", name, 3 * SECOND, group=1, size_kb=50.0)
         return self.do(dataclasses.replace(request, **changes))
 
+    def fill(self, request_id: str, name: str = "x", **changes: Any) -> list[api.Action]:
+        """A request arrives, and its cache says that it lacks the object."""
+        looked = fetches(self.ask(request_id, name, **changes))
+        assert looked and looked[0].source == looked[0].cache
+        return self.end(request_id, 0, api.Status.NO_COPY)
+
     def end(self, request_id: str, attempt: int, status: api.Status, **changes: Any) -> list[api.Action]:
         """An attempt ends."""
         outcome = api.Outcome(request_id, attempt, status, 50 * MS, status is api.Status.OK)
