--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -28,8 +28,8 @@
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
-# Pressure: steps, full (or late) share it leaves alone, ceiling, cut.
-PRESS_STEP, INLET_STEP, LATE_SHARE, PRESS_MOST, PRESS_CUT = 0.04, 0.2, 0.1, 0.9, 4.0
+# Pressure: step and share it leaves alone, of arrivals that find all full and of late fills; ceiling, cut.
+PRESS, INLET, PRESS_MOST, PRESS_CUT, LATE_SHARE = (0.04, 0.1), (0.2, 0.25), 0.9, 4.0, 0.1
 EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.1, 0.5, 1.5, SECOND // 2  # when refused clients come back
 
 
@@ -64,12 +64,12 @@
     ϑ does: step·(full − target), clamped. Hurts where caches are held full by silence: the dear go first.
     """
 
-    def __init__(self, draw: random.Random, step: float) -> None:
-        self.level, self._mean, self._draw, self._step = 0.0, 0.0, draw, step
+    def __init__(self, draw: random.Random, step: float, spared: float) -> None:
+        self.level, self._mean, self._draw, self._step, self._spared = 0.0, 0.0, draw, step, spared
 
     def learn(self, full: bool) -> None:
         """Moves the level by one arrival that finds every cache at its bound, or one fill that is slow."""
-        self.level = min(PRESS_MOST, max(0.0, self.level + self._step * (full - LATE_SHARE)))
+        self.level = min(PRESS_MOST, max(0.0, self.level + self._step * (full - self._spared)))
 
     def refuses(self, cost: float, known: bool) -> bool:
         """Whether a request of such work for its worth, size known or guessed, is too dear now."""
@@ -242,7 +242,7 @@
         self._slow = 0.1  # share of answers that outlast their patience
         self._times: dict[str, float] = {}  # by class: mean sending time seen
         self._done: dict[str, tuple[int, float]] = {}  # by role: work done lately, fading
-        self._pressure, self._inlet = (Pressure(self._random, step) for step in (PRESS_STEP, INLET_STEP))
+        self._pressure, self._inlet = Pressure(self._random, *PRESS), Pressure(self._random, *INLET)
         self._held: dict[str, Held] = {}
         self._timers: dict[int, Callable[[int], None]] = {}
         self._tokens, self._retries = 0, RETRY_SAVED
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -128,7 +128,7 @@
 def test_pressure_spares_cheap_requests_and_falls_again() -> None:
     import random
 
-    pressure = Pressure(random.Random(1), 0.04)
+    pressure = Pressure(random.Random(1), 0.04, 0.1)
     assert not pressure.refuses(100.0, True)
     for _ in range(100):
         pressure.learn(True)
