--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -29,7 +29,7 @@
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
 # Pressure: step and share it leaves alone, of arrivals that find all full and of late fills; ceiling, cut.
-PRESS, INLET, PRESS_MOST, PRESS_CUT, LATE_SHARE = (0.04, 0.1), (0.2, 0.25), 0.9, 4.0, 0.1
+PRESS, INLET, PRESS_MOST, PRESS_CUT, LATE_SHARE = (0.04, 0.1), (0.2, 0.1), 0.9, 4.0, 0.1
 EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.1, 0.5, 1.5, SECOND // 2  # when refused clients come back
 
 
