Members late more often than their best peer shed names by degrees

A member's late share (hits at a cache, fills at a source) now stands for itself: the open-fill bound follows it, and above its best peer's it sheds a hash's share of names.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import heappop, heappush
+from zlib import crc32
 
 from olivepost import interface as api
 
@@ -29,8 +30,10 @@
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
 # Pressure: step and share it leaves alone, of arrivals that find all full and of late fills; ceiling, cut.
-PRESS, INLET, PRESS_MOST, PRESS_CUT, LATE_SHARE = (0.04, 0.1), (0.2, 0.1), 0.9, 4.0, 0.1
-EASE_STEP, EASE_LEAST, EASE_MOST, ADVICE = 0.1, 0.5, 1.5, SECOND // 2  # when refused clients come back
+PRESS, INLET, PRESS_MOST, PRESS_CUT = (0.04, 0.1), (0.2, 0.1), 0.9, 4.0
+# How the open-fill bound follows late answers, and what lateness beyond its peers' sheds a member's names.
+LATE_STEP, LATE_FIRST, SHED_FROM, SHED_OVER = 0.1, 0.2, 0.2, 0.4
+EASE_LEAST, EASE_MOST, EASE_LATE, ADVICE = 0.5, 1.5, 2.5, SECOND // 2  # when refused clients come back
 
 
 class Levels:
@@ -60,8 +63,8 @@
 class Pressure:
     """Overload: a level that full caches raise, and the cost a request may have under it.
 
-    Guards against more work than the location can serve in time, whatever took the capacity away. Moves as
-    ϑ does: step·(full − target), clamped. Hurts where caches are held full by silence: the dear go first.
+    Guards against more work than caches, or their ways in, can serve in time, whatever took the capacity.
+    Moves as ϑ does: step·(full − target), clamped. Hurts where caches are held full by silence.
     """
 
     def __init__(self, draw: random.Random, step: float, spared: float) -> None:
@@ -74,8 +77,7 @@
     def refuses(self, cost: float, known: bool) -> bool:
         """Whether a request of such work for its worth, size known or guessed, is too dear now."""
         self._mean += (cost - self._mean) * (PACE_STEP if self._mean else 1.0)
-        if not known:
-            cost *= self._draw.expovariate(1.0)
+        cost *= 1.0 if known else self._draw.expovariate(1.0)
         return cost * self.level > PRESS_CUT * (1 - self.level) * self._mean
 
 
@@ -148,7 +150,7 @@
     until: int = 0  # suspended until then; 0: not
     on_trial: bool = False
     open: int = 0
-    ease: float = 1.0  # of the open-fill bound: down with late hits, up with timely ones
+    late: float = LATE_FIRST  # share of late answers lately: hits at a cache, fills at a source
     sent: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=MOST_SENT))  # [time, work]
 
     def works(self, now: int) -> None:
@@ -293,9 +295,8 @@
             self._after(waits[event.kind], lambda now: self._actions.append(api.Subscribe()))
 
     def _role(self, listed: api.Listed) -> str:
-        s = self.settings
-        kinds = {s.parent_kind: "parent", s.origin_kind: "origin", "": ""}
-        return kinds.get(listed.kind) or ("cache" if listed.zone == s.zone else "elsewhere")
+        kinds = {self.settings.parent_kind: "parent", self.settings.origin_kind: "origin", "": ""}
+        return kinds.get(listed.kind) or ("cache" if listed.zone == self.settings.zone else "elsewhere")
 
     def _arrive(self, now: int, request: api.Request) -> None:
         """Ranks by f-TTL and sends; every request resets its name's timer."""
@@ -320,8 +321,7 @@
 
     def _sized(self, request: api.Request) -> float:
         """The request's own sending time; 0 where its size is not told."""
-        pace = self.settings.pace_kb_per_s
-        return request.size_kb / pace * SECOND if pace else 0.0
+        return request.size_kb * SECOND / (self.settings.pace_kb_per_s or math.inf)
 
     def _after(self, delay: int, due: Callable[[int], None]) -> None:
         self._tokens += 1
@@ -370,22 +370,29 @@
     def _crowd(self, now: int, member: Member) -> float:
         """The open-fill bound: of the link it has by now, as far as its answers have lately come in time.
 
-        The share of one of many fronts, with room for chance: evenly thinned arrivals come in clumps, and a
-        bound of the bare share would send names away from caches that are well. None for a front alone.
+        One of many fronts has its share and room for chance: it sees few, in clumps, and a bare share would
+        send names away from members that are well. None for a front alone.
         """
         (most, usual), fronts = CROWD[member.role], self._tiers[member.role].fronts
         link = self._share(now, member) * (member.listed.weight if self.settings.weights_told else usual)
-        share = member.ease * most * link / fronts
+        share = max(EASE_LEAST, EASE_MOST - EASE_LATE * member.late) * most * link / fronts
         return max(1.0, share + CHANCE * math.sqrt(share * (1 - 1 / fronts)))
 
     def _pick(self, now: int, order: tuple[str, ...], held: Held) -> str | None:
-        """The first fit member below its bound; all skipped, the first that may be used at all."""
+        """The first fit member below its bound; all skipped, the first that may be used at all.
+
+        One late more often than its best peer sheds names by degrees (a hash's share). Guards against members
+        that grow slow but answer; all slow together shed nothing. Hurts where one's names are heavy.
+        """
         work = self._work(held.spec)
         usable = [a for a in order if self._room(now, self._members[a], work)]
         rest = [a for a in usable if a not in held.avoid]
         fit = [a for a in rest if self._members[a].fit(now)]
         free = [a for a in fit if self._members[a].open + 1 <= self._crowd(now, self._members[a])]
-        return next(iter(free or fit or rest or usable), None)
+        usual = min((self._members[a].late for a in free), default=0.0) + SHED_FROM
+        part = crc32(held.name.encode()) / 2**32 * SHED_OVER
+        quick = [a for a in free if self._members[a].late - usual <= part]
+        return next(iter(quick or free or fit or rest or usable), None)
 
     def _may_repeat(self, now: int, held: Held, target: str) -> bool:
         """Rule 2: whether one more attempt, at this target, can do no effect twice."""
@@ -409,9 +416,11 @@
         if cache is None or spent or dear or not self._may_repeat(now, held, cache):
             return self._give_up(held)
         self._retries -= price
-        source = source or cache
-        if self._looks(now, held, cache):
-            source = cache
+        # Departure: a cache is first asked for what it has. Many fronts share a location, so a name new here
+        # may well be kept there; a miss is known before a source is named, and silence is the cache's own.
+        looks = held.rank and not spec.fresh and held.missed != cache and held.sends + 1 < s.max_attempts
+        warm = self._members[cache].role == "cache" and self._share(now, self._members[cache]) >= 1
+        source = cache if looks and warm else source or cache
         renew = spec.fresh > 0 and source != cache
         troubled = held.sends > 0 or self._members[source].until > 0
         age = spec.fresh + spec.grace * troubled if spec.fresh else 0
@@ -429,28 +438,19 @@
         patience = self._patience(held)
         self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
-    def _looks(self, now: int, held: Held, cache: str) -> bool:
-        """Whether to ask a cache first for what it has. Departure: many fronts share a location, so a name
-        new here may well be kept there; a miss is known before a source is named, and silence is the cache's.
-        """
-        plain = held.rank and not held.spec.fresh and held.sends + 1 < self.settings.max_attempts
-        warm = self._share(now, self._members[cache]) >= 1
-        return bool(plain) and warm and held.missed != cache and self._members[cache].role == "cache"
-
     def _patience(self, held: Held) -> int:
         return int(PATIENCE * held.spec.aim + STRETCH * self._own(held))
 
     def _look(self, now: int, held: Held, attempt: Attempt, patience: int) -> None:
         """An attempt is out for long: its cache, if silent all the while, is blamed, and left once suspended.
 
-        Guards against members that say nothing (dead machines, cut links). Where a front has few requests one
-        silence proves little, and less the more good answers take as long: each is evidence by that share.
-        Hurts where a member is silent for a few long answers in a row: others go elsewhere for a while.
+        Guards against members that say nothing (dead machines, cut links). One silence proves little, and
+        less the more good answers take as long. Hurts where long answers come in a row.
         """
         if held.begun or attempt.number not in held.out:
             return
-        if attempt.source != attempt.cache and 2 * patience <= now - attempt.sent < 3 * patience:
-            self._inlet.learn(True)
+        if 2 * patience <= now - attempt.sent < 3 * patience:
+            self._paced(attempt.source, True)
         cache = self._members.get(attempt.cache)
         if silent := cache is not None and cache.heard < attempt.sent:
             self._blame(now, held, attempt.cache, -math.log(max(0.02, self._slow)) / math.log(DEAD_ODDS))
@@ -458,15 +458,11 @@
         if silent and cache and cache.until and may and held.sends < self.settings.max_attempts:
             self._actions.append(api.Cancel(held.request.id, attempt.number))
             self._close(held, attempt)
-            self._again(now, held, attempt)
+            held.ran.append((attempt.sent, attempt.cache))
+            self._send(now, held, price=1)
         else:
             self._after(patience, lambda then: self._look(then, held, attempt, patience))
 
-    def _again(self, now: int, held: Held, attempt: Attempt, never_ran: bool = False) -> None:
-        """One more attempt out of the retry budget, so that trouble does not feed itself; else the end."""
-        held.ran += [] if never_ran else [(attempt.sent, attempt.cache)]
-        self._send(now, held, price=1)
-
     def _blame(self, now: int, held: Held, address: str, weight: float) -> None:
         held.avoid.add(address)
         if address in self._members:
@@ -492,7 +488,8 @@
             held.missed = attempt.cache
             self._send(now, held, pressure=self._inlet)
         elif event.status is not api.Status.OK and not held.out:
-            self._again(now, held, attempt, event.status in api.NEVER_RAN)
+            held.ran += [] if event.status in api.NEVER_RAN else [(attempt.sent, attempt.cache)]
+            self._send(now, held, price=1)  # out of the retry budget, so that trouble does not feed itself
 
     def _answered(self, now: int, held: Held, attempt: Attempt, event: api.Outcome) -> None:
         """Learns from an answer: health, sending times, work done, and the class's levels."""
@@ -509,18 +506,21 @@
             self._seen(spec, float(event.took))
         self._slow += PACE_STEP * ((event.took > self._patience(held)) - self._slow)
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
-        if filled and event.took < 2 * self._patience(held):  # else it has been counted
-            self._inlet.learn(late)
-        member = self._members.get(attempt.cache if hit else attempt.source if filled else "")
-        if member:  # late hits speak of the cache, late fills of the source
-            member.ease = min(EASE_MOST, max(EASE_LEAST, member.ease + EASE_STEP * (LATE_SHARE - late)))
+        if (hit or filled) and event.took < 2 * self._patience(held):  # else it has been counted
+            self._paced(attempt.cache if hit else attempt.source, late)
         if held.rank and (hit or filled):
             levels = self._levels[spec.name]
-            sample = levels.shallow_lifetime() if held.left is None else levels.lifetime()
-            if hit:
-                sample = levels.lifetime() - (held.left or 0)
+            missed = levels.shallow_lifetime() if held.left is None else levels.lifetime()
+            sample = levels.lifetime() - (held.left or 0) if hit else missed
             levels.learn(hit, max(0.0, sample), size or 1.0)
 
+    def _paced(self, address: str, late: bool) -> None:
+        """Late hits speak of the cache, late fills of the source and of the ways to it."""
+        if member := self._members.get(address):
+            member.late += LATE_STEP * (late - member.late)
+            if member.role != "cache":
+                self._inlet.learn(late)
+
     def _failed(self, now: int, held: Held, attempt: Attempt, event: api.Outcome) -> None:
         """Blames the cache, its source, or nobody; a cache heard from since is not the silent one."""
         cache, source, note, told = attempt.cache, attempt.source, event.note, self.settings.tells_causes
