--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -29,7 +29,6 @@
 PATIENCE, STRETCH = 0.5, 1.5  # times the aim and the sending time: an attempt out for longer is looked at
 RETRY_EARN, RETRY_SAVED = 0.2, 10.0  # further attempts earned by each request, and the most saved up
 LEAST_LINK, PACE_MEMORY, PACE_STEP = 2.0, 10 * SECOND, 0.05  # transfers that a member surely carries
-COLD_SAFE, GOLDEN = 0.75, (math.sqrt(5) - 1) / 2  # part of a cold budget that is used; spreads numbers evenly
 # Pressure: step and share it leaves alone, of arrivals that find all full and of late fills; ceiling, cut.
 PRESS, INLET, PRESS_MOST, PRESS_CUT = (0.04, 0.1), (0.2, 0.1), 0.9, 4.0
 # How the open-fill bound follows late answers, and what lateness beyond its peers' sheds a member's names.
@@ -145,7 +144,6 @@
 
     listed: api.Listed
     role: str
-    lot: float  # where this front's budget for it is rounded
     heard: int = -1  # when it last showed that it works
     doubt: float = 0.0  # what its failures and silences lately say
     pause: int = 0
@@ -283,8 +281,7 @@
             if known and known.listed.started == item.started:
                 known.listed = item
             else:  # another process: health and warmth start anew
-                lot = self._lot(item.address, self._tiers[role].fronts) if role in self._tiers else 1.0
-                known = Member(item, role, lot, sent=known.sent if known else deque(maxlen=MOST_SENT))
+                known = Member(item, role, sent=known.sent if known else deque(maxlen=MOST_SENT))
             if item.state is not api.State.GONE and role in self._tiers:
                 members[item.address] = known
         ready = sorted(a for a, m in members.items() if m.listed.state is api.State.READY)
@@ -349,15 +346,6 @@
         """The request's own sending time, its class's where that is not told."""
         return self._sized(held.request) or self._work(held.spec)
 
-    def _lot(self, address: str, fronts: int) -> float:
-        """In (0, 1], spread evenly over the fronts by their numbers (by chance where not told); 1 for one alone.
-
-        A part of a budget below one attempt becomes whole attempts of a part of the fronts, on average the same.
-        """
-        own, number = crc32(address.encode()) / 2**32, self.settings.number
-        spread = self._random.random() if number is None else (own + number * GOLDEN) % 1
-        return 1 - spread if fronts > 1 else 1.0
-
     def _room(self, now: int, member: Member, work: float) -> bool:
         """Rule 4: whether a cold member's budget, this front's part of it, bears one more attempt.
 
@@ -370,8 +358,8 @@
         share = self._share(now - window, member)
         told = member.listed.weight * self.settings.weights_told / tier.fronts
         link = max(LEAST_LINK / tier.fronts, told, self._bear(now, member.role))
-        spent = sum(cell[1] for cell in member.sent) + work * member.lot
-        return share >= 1 or spent <= COLD_SAFE * tier.fall_multiple * share * link * window
+        spent = sum(cell[1] for cell in member.sent) + work
+        return share >= 1 or spent <= tier.fall_multiple * share * link * window
 
     def _share(self, now: int, member: Member) -> float:
         """The part of its link that a member surely has by now, from its start on."""
--- a/olivepost/interface.py
+++ b/olivepost/interface.py
@@ -111,7 +111,6 @@
 
     classes: dict[str, ClassSettings]
     zone: str
-    number: int | None  # this front's own among all, where told
     caches: Tier
     parents: Tier
     parent_kind: str
--- a/olivepost/simhost/codec.py
+++ b/olivepost/simhost/codec.py
@@ -164,7 +164,6 @@
     return api.Settings(
         classes=classes,
         zone=zone,
-        number=info.whole("my-number") if info.data.get("my-number") is not None else None,
         caches=api.Tier(
             fronts=max(1, int(at(family.items("zone-balancers"), place, fronts))),
             cold_from=contract.number("cold-from", 0.0),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,7 +25,7 @@
 def make_settings(*classes: api.ClassSettings, **changes: Any) -> api.Settings:
     """A location with one front, a cache tier, parents and an origin."""
     settings = api.Settings(
-        classes={spec.name: spec for spec in classes or (make_class(),)}, zone="west", number=0,
+        classes={spec.name: spec for spec in classes or (make_class(),)}, zone="west",
         caches=api.Tier(1, 0.2, 10 * SECOND, 2.0), parents=api.Tier(1, 0.1, 20 * SECOND, 2.0),
         parent_kind="parent", origin_kind="origin", weights_told=False, pace_kb_per_s=1000.0, can_join=True,
         direct=True, siblings_as_source="off", tells_hits=True, tells_causes=False, purge_done=6 * SECOND,
