--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -32,7 +32,7 @@
 # Pressure: step and share it leaves alone, of arrivals that find all full and of late fills; ceiling, cut.
 PRESS, INLET, PRESS_MOST, PRESS_CUT = (0.04, 0.1), (0.2, 0.1), 0.9, 4.0
 # How the open-fill bound follows late answers, and what lateness beyond its peers' sheds a member's names.
-LATE_STEP, LATE_FIRST, SHED_FROM, SHED_OVER = 0.1, 0.2, 0.2, 0.4
+LATE_STEP, LATE_FIRST, SHED_FROM, SHED_OVER, SHED_MOST = 0.1, 0.2, 0.2, 0.4, 0.9
 EASE_LEAST, EASE_MOST, EASE_LATE, ADVICE = 0.5, 1.5, 2.5, SECOND // 2  # when refused clients come back
 
 
@@ -390,8 +390,8 @@
         fit = [a for a in rest if self._members[a].fit(now)]
         free = [a for a in fit if self._members[a].open + 1 <= self._crowd(now, self._members[a])]
         usual = min((self._members[a].late for a in free), default=0.0) + SHED_FROM
-        part = crc32(held.name.encode()) / 2**32 * SHED_OVER
-        quick = [a for a in free if self._members[a].late - usual <= part]
+        part = crc32(held.name.encode()) / 2**32
+        quick = [a for a in free if min(SHED_MOST, (self._members[a].late - usual) / SHED_OVER) <= part]
         return next(iter(quick or free or fit or rest or usable), None)
 
     def _may_repeat(self, now: int, held: Held, target: str) -> bool:
