--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -94,7 +94,7 @@
 
 
 def test_stored_list_of_a_fleet_that_was_wholly_replaced() -> None:
-    """Every stored member refuses connections: answers come at once, and the new list is used from then on."""
+    """Every stored member refuses connections: answers come at once, then the new list is used."""
     front = Front(make_settings(direct=False))
     for i in range(30):
         actions = front.ask(str(i), f"n{i}")
