--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -20,6 +20,7 @@
 LONGEST, STEP, SIZE_STEP, EPSILON = 60 * SECOND, 0.01, 0.0001, 0.1
 HIT_TARGET, SIZE_TARGET, FIRST_LEVEL, FIRST_SHALLOW = 0.8, 5 * SECOND, 0.5, 0.0
 LOW, MIDDLE, TOP = 1, 2, 3
+SOURCE_FAILED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES, MOST_SENT = 40_000, 20_000, 4_096, 4_096
 # Own open fills that make placement skip: links' worth, a link where not told; deviations for chance.
@@ -305,9 +306,8 @@
         if not (spec.uncacheable or request.write):
             left = self._names.left(now, name)
             lifted = self._random.random() * levels.lifetime() < levels.shallow_lifetime()
-            rank = MIDDLE if left is not None or lifted else LOW
-            if left is not None and self._names.top_has_room(name):
-                rank = TOP
+            top = left is not None and self._names.top_has_room(name)
+            rank = TOP if top else MIDDLE if left is not None or lifted else LOW
             self._names.put(name, now + int(levels.lifetime()), rank, request.size_kb or 1.0)
         if request.size_kb:
             self._seen(spec, self._sized(request))
@@ -531,23 +531,23 @@
                 known.works(now)
             case api.Status.NO_COPY:
                 held.avoid.add(source)
+            case api.Status.TURNED_AWAY if note in SOURCE_FAILED or (heard and not told):
+                self._blame(now, held, source, 0.35)
+                self._paced(source, True)  # a refused fill is no better than a late one
             case api.Status.TURNED_AWAY if note is not api.Note.ORIGIN_FAILED:
-                sources = note in (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST) or (heard and not told)
-                self._blame(now, held, source if sources else cache, 0.35 if sources else 0.2)
-            case api.Status.TIMED_OUT | api.Status.ERROR if heard:  # a fill broke off late
-                self._blame(now, held, source, 0.25)
+                self._blame(now, held, cache, 0.2)
             case api.Status.TIMED_OUT | api.Status.ERROR | api.Status.NOT_CONNECTED | api.Status.BROKEN_OFF:
-                self._blame(now, held, cache, 0.5)
+                fill = heard and event.status in (api.Status.TIMED_OUT, api.Status.ERROR)  # it broke off late
+                self._blame(now, held, source if fill else cache, 0.25 if fill else 0.5)
 
     def _give_up(self, held: Held) -> None:
         """The final answer, at once; a refusal where trying again is harmless."""
         if self._held.get(held.request.id) is not held or held.begun:
             return
-        s, spec = self.settings, held.spec
-        anywhere = spec.effect is api.Effect.KEYED and spec.scope is api.Scope.ALL
-        if spec.effect is api.Effect.SAFE or anywhere or not (held.ran or held.out):
-            advice = int(ADVICE * (0.5 + self._random.random())) if s.retry_after else 0
-            self._actions.append(api.Refuse(held.request.id, min(s.max_retry_after, advice)))
+        anywhere = held.spec.effect is api.Effect.KEYED and held.spec.scope is api.Scope.ALL
+        if held.spec.effect is api.Effect.SAFE or anywhere or not (held.ran or held.out):
+            advice = int(ADVICE * (0.5 + self._random.random())) if self.settings.retry_after else 0
+            self._actions.append(api.Refuse(held.request.id, min(self.settings.max_retry_after, advice)))
         else:
             self._actions.append(api.Fail(held.request.id))
         self._forget(held.request.id)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -328,6 +328,14 @@
     assert fetches(front.fill("again", size_kb=400.0))
 
 
+def test_refused_fills_raise_the_fill_level_as_late_ones_do() -> None:
+    """Incident i114a12: thousands of fills were refused, each sent to the next parent of one origin."""
+    front = Front(make_settings())
+    front.fill("1")
+    front.end("1", 1, Status.TURNED_AWAY)
+    assert front.router._inlet.level > 0
+
+
 def test_a_fill_that_does_not_end_is_seen_before_it_does() -> None:
     front = Front(make_settings())
     front.fill("1")
