--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,9 +41,9 @@
     return dataclasses.replace(listed, **changes)
 
 
-def parent(address: str, state: api.State = api.State.READY, started: int = 0) -> api.Listed:
+def parent(address: str, state: api.State = api.State.READY, started: int = 0, **changes: Any) -> api.Listed:
     """A parent in a hub."""
-    return api.Listed(address, state, "parent", "hub", 0, 1.0, started)
+    return cache(address, state, started, **{"kind": "parent", "zone": "hub", **changes})
 
 
 ORIGIN = api.Listed("origin:1", api.State.READY, "origin", "hub")
@@ -53,8 +53,10 @@
 class Front:
     """A router under test, with its timers kept and fired in order."""
 
-    def __init__(self, settings: api.Settings, members: tuple[api.Listed, ...] = FLEET) -> None:
-        self.router = Router(settings, 7)
+    def __init__(
+        self, settings: api.Settings, members: tuple[api.Listed, ...] = FLEET, seed: int = 7
+    ) -> None:
+        self.router = Router(settings, seed)
         self.now = START
         self.timers: list[tuple[int, int]] = []
         self.do(api.Membership(api.ListKind.STORED, members))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -27,7 +27,7 @@
 
 LINK, WORK = 5.0, 50 * MS
 COLD = (cache("a:1", weight=LINK, started=START),
-        dataclasses.replace(parent("p:1", started=START), weight=LINK), ORIGIN)
+        parent("p:1", weight=LINK, started=START), ORIGIN)
 
 
 def total_work(fronts: int, restarts: int) -> dict[str, list[tuple[int, float]]]:
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -1,5 +1,7 @@
 """f-TTL against figures worked out by hand from the design page's formulas."""
 
+import random
+
 import pytest
 
 from olivepost.choice import LONGEST, LOW, MIDDLE, TOP, Levels, NameTable, Placement, Pressure
@@ -126,8 +128,6 @@
 
 
 def test_pressure_spares_cheap_requests_and_falls_again() -> None:
-    import random
-
     pressure = Pressure(random.Random(1), 0.04, 0.1)
     assert not pressure.refuses(100.0, True)
     for _ in range(100):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,7 @@
 from hypothesis import strategies as st
 
 from olivepost import interface as api
-from olivepost.choice import Router
-from tests.helpers import MS, ORIGIN, SECOND, START, cache, make_class, make_settings, parent
+from tests.helpers import MS, ORIGIN, SECOND, Front, cache, make_class, make_settings, parent
 
 CLASSES = (
     make_class("safe", fresh=8 * SECOND, grace=30 * SECOND),
@@ -31,14 +30,12 @@
 )
 
 
-class World:
+class World(Front):
     """Plays the other side and checks each action against the rules."""
 
     def __init__(self, direct: bool) -> None:
         self.settings = make_settings(*CLASSES, direct=direct, caches=api.Tier(2, 0.2, 10 * SECOND, 2.0),
                                       parents=api.Tier(2, 0.1, 20 * SECOND, 2.0))
-        self.router = Router(self.settings, 3)
-        self.now = START
         self.states = dict.fromkeys(CACHES + PARENTS, api.State.READY)
         self.started = dict.fromkeys(CACHES + PARENTS, 0)
         self.owed: dict[str, tuple[api.Request, int]] = {}
@@ -46,25 +43,26 @@
         self.sends: dict[str, int] = {}
         self.ran: dict[str, list[tuple[int, str]]] = {}
         self.over: set[str] = set()
-        self.timers: list[tuple[int, int]] = []
         self.purges: list[tuple[str | None, int]] = []
         self.charged: dict[str, list[tuple[int, float]]] = {}
         self.count = 0
-        self.feed(api.Membership(api.ListKind.STORED, self.members()))
+        super().__init__(self.settings, self.members(), seed=3)
 
     def members(self) -> tuple[api.Listed, ...]:
         caches = tuple(cache(a, self.states[a], self.started[a], cell=CELLS[a]) for a in CACHES)
         return (*caches, *(parent(a, self.states[a], self.started[a]) for a in PARENTS), ORIGIN)
 
-    def feed(self, event: api.Event) -> None:
-        for action in self.router.handle(self.now, event):
+    def do(self, event: api.Event) -> list[api.Action]:
+        """Hands over one event and checks each action that it leads to."""
+        actions = super().do(event)
+        for action in actions:
             self.check(action)
+        return actions
 
     def check(self, action: api.Action) -> None:
         match action:
             case api.SetTimer():
                 assert action.delay >= 0
-                self.timers.append((self.now + action.delay, action.token))
             case api.Fetch():
                 self.check_fetch(action)
             case api.Cancel():
@@ -127,7 +125,7 @@
             request = api.Request(f"r{self.count}", str(one), str(two), three * MS, 100.0, 1)
             self.owed[request.id] = request, self.now + request.ttl
             self.sends[request.id], self.ran[request.id] = 0, []
-            self.feed(request)
+            self.do(request)
         elif kind == "end" and self.out and isinstance(one, int):
             key = sorted(self.out)[one % len(self.out)]
             fetch, status = self.out.pop(key), api.Status(two)
@@ -137,7 +135,7 @@
                 self.owed.pop(key[0], None)
                 self.over.add(key[0])
             final = status is api.Status.OK
-            self.feed(api.Outcome(key[0], key[1], status, 30 * MS, final, api.Note(three)))
+            self.do(api.Outcome(key[0], key[1], status, 30 * MS, final, api.Note(three)))
         elif kind == "wait" and isinstance(one, int):
             self.wait(one * MS)
         elif kind == "list":
@@ -147,26 +145,17 @@
                 self.started[address] = self.now
                 self.charged.pop(address, None)
             listed = next(m for m in self.members() if m.address == address)
-            self.feed(api.Membership(api.ListKind.CHANGES, (listed,)))
+            self.do(api.Membership(api.ListKind.CHANGES, (listed,)))
         elif kind == "purge" and isinstance(two, int):
             self.purges.append((str(one) if one else None, self.now - two * MS))
-            self.feed(api.Purge(str(one) if one else None, 1, two * MS))
+            self.do(api.Purge(str(one) if one else None, 1, two * MS))
         elif kind == "leave" and self.owed and isinstance(one, int):
             gone = sorted(self.owed)[one % len(self.owed)]
             self.owed.pop(gone)
             self.over.add(gone)
-            self.feed(api.ClientLeft(gone))
+            self.do(api.ClientLeft(gone))
         elif kind == "stale":
-            self.feed(api.Membership(api.ListKind.FULL, self.members()))
-
-    def wait(self, span: int) -> None:
-        until = self.now + span
-        while due := [timer for timer in self.timers if timer[0] <= until]:
-            timer = min(due)
-            self.timers.remove(timer)
-            self.now = max(self.now, timer[0])
-            self.feed(api.TimerFired(timer[1]))
-        self.now = until
+            self.do(api.Membership(api.ListKind.FULL, self.members()))
 
 
 @settings(max_examples=150, derandomize=True, deadline=None, database=None,
