--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -179,12 +179,12 @@
     memory_mb: int
     sockets: int
     clients: int  # open connections of clients; further ones wait in the backlog
+    links: int  # to one member: as many as carry one request of each client's connection
     buffers: int  # in the pool, each of `buffer_size`
     buffer_size: int = BUFFER_SIZE
     head_size: int = 8_192  # of a request's line and headers
     body_size: int = 240_000  # of an object
     stack_size: int = 262_144
-    links: int = 4  # to one member
     streams: int = 32  # attempts on one link
     connect: int = 400 * MS
     idle: int = 30 * SECOND
@@ -213,12 +213,17 @@
     told, links = top.inner("limits"), settings.inner("limits")
     memory, sockets = told.within("memory_mb", 64, 1 << 20, 192), told.within("sockets", 64, 1 << 20, 1024)
     idle = links.within("conn-idle", 0, 3_600 * SECOND, 30 * SECOND)
+    streams = int(links.within("max-streams", 1, 1 << 16, 32))
+    clients = min(4_096, int(sockets) // 3 + 8)
+    # A bound of 4 left calls without a link (never sent) whenever a member's answers took long at full load.
+    most_links = min(int(sockets) // 8, -(-clients // streams) + 1)
     return Bounds(
         memory_mb=int(memory),
         sockets=int(sockets),
-        clients=min(4_096, int(sockets) // 3 + 8),
+        clients=clients,
         buffers=min(65_536, int(memory) * 1_048_576 // 4 // BUFFER_SIZE),
-        streams=int(links.within("max-streams", 1, 1 << 16, 32)),
+        links=most_links,
+        streams=streams,
         connect=int(links.within("connect-timeout", 1, 60 * SECOND, 400 * MS)),
         idle=int(idle) or 30 * SECOND,
     )
--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -86,7 +86,8 @@
         self.log.event(
             "figures", open=self.engine.open,
             connections=self.clients.open, most_connections=self.clients.peak,
-            events=count, engine_delay_ms={name: delays[at] / MS for name, at in shares.items()} if count else {},
+            events=count,
+            engine_delay_ms={name: delays[at] / MS for name, at in shares.items()} if count else {},
             threads=threading.active_count(), descriptors=_descriptors(), memory_kb=_memory_kb(),
             buffers=self.pool.out, most_buffers=self.pool.peak, broken=invariants.broken(),
             counts=self.log.totals(),
