Answers are written without waiting; a client that reads slowly gets a thread of its own

A few writers now send what the machine takes at once, with a send buffer as large as a body, and only the rest of a slow client's answer gets a thread.

--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -190,7 +190,7 @@
     idle: int = 30 * SECOND
     client_idle: int = 30 * SECOND
     stall: int = 2 * SECOND  # a peer that takes no bytes for so long is given up
-    writers: int = 4  # threads that wait for answers to write; more come and go with the answers
+    writers: int = 4  # threads that write answers
     log_lines: int = 10_000
     backlog: int = 512
 
--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
+import queue
 import re
 import socket
 import threading
-from collections import deque
 from collections.abc import Callable, Collection
 
 from olivepost.config import MS, SECOND, Address, Bounds
@@ -27,7 +27,6 @@
 GROUP = re.compile(r"[0-9]{1,3}", re.ASCII)
 STRONG_TAG = re.compile(r'"([!#-+\--<>-~]{1,128})"', re.ASCII)  # that a field on the members' wire can hold
 LINGER = 1 * SECOND  # for the client's end after ours, so that a reset does not overtake the answer
-WRITER_REST = 10.0  # seconds without work after which a writer beyond the first few ends
 REFUSED, FAILED = 503, 502
 
 
@@ -125,47 +124,42 @@
 
 
 class Writers:
-    """Threads that write answers: a few that stay, more while all are busy."""
+    """A few threads that write answers as far as the machine takes them at once.
 
-    def __init__(self, stay: int, log: Log) -> None:
-        self._log, self._stay = log, stay
-        self._jobs: deque[tuple[Connection, Exchange, Answer]] = deque()
-        self._change = threading.Condition()
-        self._resting = self._threads = 0
-        with self._change:
-            for _ in range(stay):
-                self._add()
+    What a client does not take at once is finished by a thread of its own: who reads slowly holds up
+    nobody, and the engine never starts a thread.
+    """
 
-    def submit(self, connection: Connection, exchange: Exchange, answer: Answer) -> None:
-        """Has an answer written, by a thread that is not held up by any other answer."""
-        with self._change:
-            self._jobs.append((connection, exchange, answer))
-            if self._resting < len(self._jobs):
-                self._add()
-            self._change.notify()
-
-    def _add(self) -> None:
-        try:
+    def __init__(self, count: int, log: Log) -> None:
+        self._log = log
+        self._jobs: queue.SimpleQueue[tuple[Connection, Exchange, Answer]] = queue.SimpleQueue()
+        for _ in range(count):
             threading.Thread(target=self._run, name="writer", daemon=True).start()
-            self._threads += 1
-        except RuntimeError:  # no more threads: those that there are will come to it
-            self._log.count("threads_short")
+
+    def submit(self, connection: Connection, exchange: Exchange, answer: Answer) -> None:
+        self._jobs.put((connection, exchange, answer))
 
     def _run(self) -> None:
         while True:
-            with self._change:
-                self._resting += 1
-                while not self._jobs:
-                    if not self._change.wait(WRITER_REST) and not self._jobs and self._threads > self._stay:
-                        self._threads -= 1
-                        self._resting -= 1
-                        return
-                self._resting -= 1
-                connection, exchange, answer = self._jobs.popleft()
+            connection, exchange, answer = self._jobs.get()
             try:
-                connection.write(exchange, answer)
+                left = connection.write(exchange, answer)
+                if left:
+                    self._log.count("slow_clients")
+                    rest = (connection.finish, exchange, answer, left)
+                    threading.Thread(target=self._rest, args=rest, name="slow-writer", daemon=True).start()
             except Exception:
                 self._log.fault("writer_fault")
+                connection.cut()
+
+    def _rest(
+        self, finish: Callable[[Exchange, Answer, list[memoryview]], None],
+        exchange: Exchange, answer: Answer, left: list[memoryview],
+    ) -> None:
+        try:
+            finish(exchange, answer, left)
+        except Exception:
+            self._log.fault("writer_fault")
 
 
 class Connection:
@@ -177,6 +171,7 @@
         self._parser = http1.Parser(side.bounds.head_size, side.bounds.buffer_size)
         self._exchange: Exchange | None = None
         self._keeps = True  # what the request in hand says of the connection
+        self._closes = False  # what the answer in hand says of it
         self._ending = False  # our last answer has gone out
         self._gone = False
         self._room = threading.Condition(self._lock)
@@ -191,6 +186,7 @@
                 side.log.count("pool_empty")
             else:
                 sockets.tune(self._sock, side.bounds.client_idle, side.bounds.stall)
+                sockets.widen(self._sock, side.bounds.body_size)
                 self._read(memoryview(room[0]))
         except OSError:
             side.log.count("client_reset")
@@ -247,14 +243,14 @@
             except HttpError as fault:
                 self._side.log.count(f"bad_request_{fault.status}")
                 self._keeps = False
-                self._send(fault.status, [], {"Allow": "GET"} if fault.status == 405 else {}, 0)
+                self._send(fault.status, {"Allow": "GET"} if fault.status == 405 else {})
 
     def _route(self, message: Message, at: int) -> None:
         method, target = message.first
         if method != "GET":
             raise HttpError(405, "only GET")
         if target == HEALTH:
-            self._send(REFUSED if self._side.draining else 200, [], {}, 0)
+            self._send(REFUSED if self._side.draining else 200, {})
             return
         match = TARGET.fullmatch(target)
         if match is None or match[1] not in self._side.classes:
@@ -273,21 +269,25 @@
         )
         self._side.post(Arrived(exchange))
 
-    def _send(
-        self, status: int, parts: list[memoryview], headers: dict[str, str], length: int | None
-    ) -> None:
-        """Writes an answer; after the last one, the sending half is closed."""
-        close = not self._keeps or self._side.draining
+    def _send(self, status: int, headers: dict[str, str]) -> None:
+        """Writes an answer of the front's own, which has no body."""
         try:
-            head = http1.answer_head(status, length, headers, close)
-            sockets.send_parts(self._sock, [head, *parts])
+            sockets.send_parts(self._sock, [http1.answer_head(status, 0, headers, not self._stays)])
         except OSError:
-            self._side.log.count("answers_cut")
-            close = True
-            sockets.hang_up(self._sock)
-        if close:
+            self.cut()
+        if not self._stays:
             self._finish_sending()
 
+    @property
+    def _stays(self) -> bool:
+        return self._keeps and not self._side.draining
+
+    def cut(self) -> None:
+        """Ends the connection at once; the client can tell that its answer is not whole."""
+        self._side.log.count("answers_cut")
+        self._keeps = False
+        sockets.hang_up(self._sock)
+
     def _finish_sending(self) -> None:
         self._ending = True
         try:
@@ -301,35 +301,44 @@
     def _deliver(self, exchange: Exchange, answer: Answer) -> None:
         self._side.writers.submit(self, exchange, answer)
 
-    def write(self, exchange: Exchange, answer: Answer) -> None:
-        """Writes the final answer and goes on with what has been read meanwhile."""
-        try:
-            with self._lock:
-                if self._exchange is not exchange or self._gone:
-                    return
-                headers: dict[str, str] = {}
-                parts: list[memoryview] = []
-                length: int | None = 0
-                if answer.tag:
-                    headers["ETag"] = f'"{answer.tag}"'
-                match answer.verdict:
-                    case Verdict.SERVED if answer.body is not None:
-                        status, parts, length = 200, list(answer.body.parts()), answer.body.length
-                    case Verdict.CURRENT:
-                        status, length = 304, None
-                    case Verdict.REFUSED:
-                        status = REFUSED
-                        if answer.retry_after > 0:
-                            headers["X-Come-Back-Ms"] = str(max(1, answer.retry_after // MS))
-                    case _:
-                        status = FAILED
-                self._side.log.count(f"answered_{status}")
-                self._send(status, parts, headers, length)
-                self._exchange = None
-                self._advance(self._side.clock.now())
-                self._room.notify_all()
-        finally:
-            answer.release()
+    def write(self, exchange: Exchange, answer: Answer) -> list[memoryview]:
+        """Writes the final answer; returns what the machine would not take without waiting."""
+        with self._lock:
+            if self._exchange is not exchange or self._gone:
+                answer.release()
+                return []
+            self._closes = not self._stays
+            parts = _parts(answer, self._closes)
+            try:
+                left = sockets.send_parts(self._sock, parts, socket.MSG_DONTWAIT)
+            except OSError:
+                self.cut()
+                left = []
+            if not left:
+                self._written(answer)
+            return left
+
+    def finish(self, exchange: Exchange, answer: Answer, left: list[memoryview]) -> None:
+        """Writes the rest, waiting for the client, until it takes nothing for as long as a stall may last."""
+        with self._lock:
+            if self._exchange is not exchange or self._gone:
+                answer.release()
+                return
+            try:
+                sockets.send_parts(self._sock, left)
+            except OSError:
+                self.cut()
+            self._written(answer)
+
+    def _written(self, answer: Answer) -> None:
+        """After an answer: the connection is free, and what has been read meanwhile is next."""
+        answer.release()
+        self._side.log.count(answer.verdict.value)
+        self._exchange = None
+        if self._closes or not self._keeps:
+            self._finish_sending()
+        self._advance(self._side.clock.now())
+        self._room.notify_all()
 
     # The thread that ends the front.
 
@@ -339,6 +348,20 @@
                 self._finish_sending()
 
 
+def _parts(answer: Answer, close: bool) -> list[bytes | memoryview]:
+    """The final answer as HTTP has it."""
+    headers = {"ETag": f'"{answer.tag}"'} if answer.tag else {}
+    if answer.verdict is Verdict.SERVED and answer.body is not None:
+        return [http1.answer_head(200, answer.body.length, headers, close), *answer.body.parts()]
+    if answer.verdict is Verdict.CURRENT:
+        return [http1.answer_head(304, None, headers, close)]
+    if answer.verdict is Verdict.REFUSED:
+        if answer.retry_after > 0:
+            headers["X-Come-Back-Ms"] = str(max(1, answer.retry_after // MS))
+        return [http1.answer_head(REFUSED, 0, headers, close)]
+    return [http1.answer_head(FAILED, 0, headers, close)]
+
+
 def _value(message: Message, name: str, form: re.Pattern[str]) -> str:
     value = message.header(name)
     if value is None or not form.fullmatch(value):
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -221,7 +221,6 @@
                             if isinstance(action, api.Refuse)
                             else Answer(Verdict.FAILED)
                         )
-                        self._log.count(answer.verdict.value)
                         self._close(held, answer)
                 case api.Subscribe():  # the long poll is always on
                     self.post(Told(api.Membership(api.ListKind.CHANGES, ()), []))
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -267,8 +267,6 @@
             view, answers = memoryview(room[0]), Answers(self._tools.bounds.body_size)
             head: Head | None = None
             while count := sock.recv_into(view):
-                log.count("TMP_recvs")
-                log.count("TMP_bytes", count)
                 for item in answers.feed(view[:count]):
                     if isinstance(item, Head):
                         head = item
--- a/olivepost/net/sockets.py
+++ b/olivepost/net/sockets.py
@@ -10,6 +10,11 @@
 SECOND = 1_000_000_000
 
 
+def widen(sock: socket.socket, size: int) -> None:
+    """Asks for a send buffer that holds a whole body, so that a write seldom waits."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 def tune(sock: socket.socket, receive: int, send: int) -> None:
     """Sets both waits of a blocking socket, in nanoseconds, and sends small frames at once.
 
@@ -35,15 +40,26 @@
     return sock
 
 
-def send_parts(sock: socket.socket, parts: Iterable[bytes | memoryview]) -> None:
-    """Writes all parts, in as few calls as the kernel allows."""
+def send_parts(
+    sock: socket.socket, parts: Iterable[bytes | memoryview], flags: int = 0
+) -> list[memoryview]:
+    """Writes all parts, in as few calls as the kernel allows.
+
+    With MSG_DONTWAIT, returns what was not taken at once; without it, nothing is left.
+    """
     left = [memoryview(part) for part in parts if part]
     while left:
-        sent = sock.sendmsg(left)
+        try:
+            sent = sock.sendmsg(left, [], flags)
+        except BlockingIOError:
+            if not flags:
+                raise
+            return left
         while left and sent >= len(left[0]):
             sent -= len(left.pop(0))
         if left:
             left[0] = left[0][sent:]
+    return left
 
 
 def hang_up(sock: socket.socket, how: int = socket.SHUT_RDWR) -> None:
