--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -30,10 +30,10 @@
 class Front:
     """One front."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, log_to: int = 1) -> None:
         self.config, bounds = config, config.bounds
         self.clock = Clock()
-        self.log = Log(self.clock, config.name, bounds.log_lines)
+        self.log = Log(self.clock, config.name, bounds.log_lines, log_to)
         self.pool = Pool(bounds.buffers, bounds.buffer_size)
         self.engine = Engine(Router(config.settings, config.seed), self.clock, self.log)
         self.servers = Servers(Tools(bounds, self.pool, self.clock, self.log, self.engine.post))
--- a/olivepost/net/registry.py
+++ b/olivepost/net/registry.py
@@ -38,7 +38,7 @@
     """A numbered event."""
 
     index: int
-    told: Told
+    told: Told | None  # None: it could not be read
 
 
 def _read_member(item: object) -> tuple[api.Listed, Place]:
@@ -55,10 +55,8 @@
     return listed, Place(id_, address, started, state)
 
 
-def read_update(data: object, now: int) -> Update:
+def read_told(row: Fields, now: int) -> Told:
     """One event as the coordinator words it."""
-    row = Fields("update", data)
-    index = row.whole("index")
     if "evict" in row.data:
         evict = row.inner("evict")
         name = evict.text("ref", "")
@@ -66,12 +64,11 @@
         if not name and group is None:
             raise FieldError("evict lacks 'ref' and 'shard'")
         age = max(0, now - evict.whole("unix_ms") * MS)
-        return Update(index, Told(api.Purge(name or None, group, age), []))
+        return Told(api.Purge(name or None, group, age), [])
     row = row.inner("endpoints")
     kind = api.ListKind.FULL if row.flag("full") else api.ListKind.CHANGES
     members = [_read_member(item) for item in row.items("servers")]
-    told = Told(api.Membership(kind, tuple(listed for listed, _ in members)), [place for _, place in members])
-    return Update(index, told)
+    return Told(api.Membership(kind, tuple(listed for listed, _ in members)), [place for _, place in members])
 
 
 class Registry:
@@ -101,11 +98,14 @@
         row = Fields("list of events", data)
         index, updates = row.whole("index", 0), list[Update]()
         for item in row.items("updates"):
+            event = Fields("update", item)
+            number, told = event.whole("index"), None
             try:
-                updates.append(read_update(item, self._clock.now()))
+                told = read_told(event, self._clock.now())
             except FieldError as fault:  # one that can't be read must not stop those behind it
                 self._log.count("updates_odd")
-                self._log.event("update_odd", why=str(fault))
+                self._log.event("update_odd", index=number, why=str(fault))
+            updates.append(Update(number, told))
         updates = [update for update in sorted(updates, key=lambda it: it.index) if update.index > self._last]
         first = updates[0] if updates else None
         gap = first is not None and first.index != self._last + 1 and not self._is_whole(first)
@@ -118,13 +118,14 @@
             return
         self._resync = False
         for update in updates:
-            self._post(update.told if self._whole else self._as_first(update.told))
+            if update.told is not None:
+                self._post(update.told if self._whole else self._as_first(update.told))
             self._last = update.index
         self._last = max(self._last, index)
 
     @staticmethod
     def _is_whole(update: Update) -> bool:
-        what = update.told.what
+        what = update.told.what if update.told else None
         return isinstance(what, api.Membership) and what.kind is api.ListKind.FULL
 
     def _as_first(self, told: Told) -> Told:
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,150 @@
+"""A front in this process before toy members, and a plain client."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from types import TracebackType
+from typing import Any
+
+from examples.toy_server import CONFIG, Coordinator, Member, Reply, entry, serve_all
+from olivepost.config import read_config
+from olivepost.net.front import Front
+
+NAME = "7f3a9c21e0b4d655"
+WITHIN = 20.0  # seconds that a test waits for what must come
+
+
+def toy_config(**changes: Any) -> dict[str, Any]:
+    """The example's configuration on ports of the system's choice."""
+    data: dict[str, Any] = json.loads(CONFIG.read_text())
+    return {**data, "listen": "127.0.0.1:0", **changes}
+
+
+class Client:
+    """One connection to a front."""
+
+    _ids = itertools.count(1)
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address, WITHIN)
+        self._data = b""
+
+    def __enter__(self) -> Client:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, fault: BaseException | None, at: TracebackType | None
+    ) -> None:
+        self.sock.close()
+
+    @classmethod
+    def request(cls, name: str = NAME, class_name: str = "segment", piece: int = 3, patience: int = 1500,
+                **headers: str) -> bytes:
+        """A request as clients send it; a header given as '' is left out."""
+        lines = {"Host": "backend.local", "X-Call-Id": f"{next(cls._ids):016x}",
+                 "X-Patience-Ms": str(patience), "X-Set": "17"}
+        lines |= {key.replace("_", "-"): value for key, value in headers.items()}
+        text = "".join(f"{key}: {value}\r\n" for key, value in lines.items() if value)
+        return f"GET /api/v2/{class_name}/{name}/slice-{piece} HTTP/1.1\r\n{text}\r\n".encode()
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def read(self) -> tuple[int, dict[str, str], bytes]:
+        """The next answer, whole."""
+        while b"\r\n\r\n" not in self._data:
+            self._more()
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        first, *rest = head.decode().split("\r\n")
+        headers = {key.lower(): value for key, value in (line.split(": ", 1) for line in rest)}
+        length = int(headers.get("content-length", 0))
+        while len(self._data) < length:
+            self._more()
+        body, self._data = self._data[:length], self._data[length:]
+        return int(first.split()[1]), headers, body
+
+    def _more(self) -> None:
+        data = self.sock.recv(65_536)
+        if not data:
+            raise ConnectionError("closed by the front")
+        self._data += data
+
+    def ask(self, *args: Any, **kwargs: Any) -> tuple[int, dict[str, str], bytes]:
+        self.send(self.request(*args, **kwargs))
+        return self.read()
+
+    def closed(self) -> bool:
+        """Waits for the front's end of the connection; true where nothing came before it."""
+        try:
+            return not self._data and not self.sock.recv(1)
+        except ConnectionResetError:
+            return True
+
+
+class Rig:
+    """A front with a coordinator, caches `a` and `b`, a parent and an origin."""
+
+    def __init__(self, reply: Reply = serve_all, **changes: Any) -> None:
+        self.coordinator = Coordinator()
+        self.caches = [Member("a", reply=reply), Member("b", reply=reply)]
+        self.parent, self.origin = Member("p", reply=reply), Member("o", reply=reply)
+        self.members = [*self.caches, self.parent, self.origin]
+        self.entries = [entry(cache) for cache in self.caches]
+        self.entries += [entry(self.parent, "parent", "hub"), entry(self.origin, "origin", "hub")]
+        self.coordinator.add(endpoints={"version": 1, "full": True, "servers": self.entries})
+        config = toy_config(coordinator=self.coordinator.address, known=self.coordinator.listed(), **changes)
+        self._nowhere = os.open(os.devnull, os.O_WRONLY)
+        self.front = Front(read_config(config, {}), self._nowhere)
+        self.address = self.front.start()
+
+    def client(self) -> Client:
+        return Client(self.address)
+
+    def fetches(self, count: int = 1) -> list[Any]:
+        """What all caches were asked, once there are so many in all."""
+        until = threading.Event()
+        for _ in range(int(WITHIN * 200)):
+            seen = [command for cache in self.caches for command in cache.seen()]
+            if len(seen) >= count:
+                return seen
+            until.wait(0.005)
+        raise AssertionError(f"fewer than {count} fetches came")
+
+    def until(self, holds: Any) -> bool:
+        """Waits until something holds."""
+        pause = threading.Event()
+        for _ in range(int(WITHIN * 200)):
+            if holds():
+                return True
+            pause.wait(0.005)
+        return False
+
+    def counted(self, name: str) -> int:
+        return self.front.log.totals().get(name, 0)
+
+    def close(self) -> None:
+        self.front.registry.stop()
+        self.front.clients.stop()
+        self.front.servers.close()
+        for server in (*self.members, self.coordinator):
+            server.close()
+        self.front.log.close(WITHIN)
+        os.close(self._nowhere)
+
+
+@contextmanager
+def rig(reply: Reply = serve_all, **changes: Any) -> Iterator[Rig]:
+    """A front under test, with the buffers and requests all accounted for at its end."""
+    made = Rig(reply, **changes)
+    try:
+        yield made
+    finally:
+        made.close()
+    assert made.until(lambda: made.front.engine.open == 0), "a request is left open"
+    assert made.until(lambda: made.front.pool.out == 0), "a buffer is left out"
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,74 @@
+"""Configuration: what is read, what is defaulted, and messages that name the faulty key."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from examples.toy_server import CONFIG
+from olivepost import interface as api
+from olivepost.config import FieldError, load, read_config
+from tests.rig import toy_config
+
+
+def test_the_example_is_read() -> None:
+    config = load({}, str(CONFIG))
+    assert config.name == "example" and config.listen == ("127.0.0.1", 8080)
+    assert config.coordinator == ("127.0.0.1", 7370) and config.seed == 0x8C1F30D27A5BE964
+    assert config.settings.classes["image"].effect is api.Effect.SAFE
+    bounds = config.bounds
+    assert bounds.streams == 32 and bounds.connect == 400_000_000 and bounds.idle == 30_000_000_000
+    assert bounds.clients >= 1024 // 3 and bounds.buffers * bounds.buffer_size <= 192 * 1_048_576 // 4
+    assert bounds.links * bounds.streams >= bounds.clients
+
+
+def test_variables_win_over_the_file() -> None:
+    told = {"BALANCER_NAME": "n3", "BALANCER_LISTEN": "127.0.0.9:81", "BALANCER_CONFIG": str(CONFIG)}
+    config = load(told)
+    assert (config.name, config.listen) == ("n3", ("127.0.0.9", 81))
+
+
+def test_limits_and_unknown_keys() -> None:
+    config = read_config(toy_config(limits={"sockets": 256, "of_tomorrow": 1}, of_tomorrow=[]), {})
+    assert config.bounds.sockets == 256 and config.bounds.memory_mb == 192
+    assert config.bounds.clients < 256 // 2
+
+
+@pytest.mark.parametrize(("changes", "key"), [
+    ({"listen": "here"}, "listen"),
+    ({"listen": "127.0.0.1:99999"}, "listen"),
+    ({"listen": "300.0.0.1:80"}, "listen"),
+    ({"coordinator": 5}, "coordinator"),
+    ({"coordinator": None}, "coordinator"),
+    ({"seed": "xyz"}, "seed"),
+    ({"seed": [1]}, "seed"),
+    ({"limits": {"memory_mb": 1}}, "memory_mb"),
+    ({"limits": {"sockets": "many"}}, "sockets"),
+    ({"limits": 7}, "limits"),
+    ({"settings": None}, "settings"),
+    ({"settings": {"zone": "x", "classes": []}}, "classes"),
+    ({"settings": {"zone": "x", "classes": [{"name": "a"}]}}, "deadline"),
+    ({"settings": {"classes": [{"name": "a", "deadline": 1, "effect": "read_like"}]}}, "zone"),
+    ({"settings": {"zone": "x", "classes": [{"name": "a", "deadline": 1, "effect": "odd"}]}}, "effect"),
+    ({"name": 3}, "name"),
+])
+def test_a_fault_names_its_key(changes: dict[str, Any], key: str) -> None:
+    with pytest.raises(FieldError, match=key):
+        read_config(toy_config(**changes), {})
+
+
+def test_a_faulty_variable_is_named(tmp_path: Path) -> None:
+    with pytest.raises(FieldError, match="BALANCER_LISTEN"):
+        read_config(toy_config(), {"BALANCER_LISTEN": "x"})
+    with pytest.raises(FieldError, match="BALANCER_CONFIG"):
+        load({})
+    with pytest.raises(FieldError, match="BALANCER_CONFIG"):
+        load({"BALANCER_CONFIG": str(tmp_path / "none.json")})
+    path = tmp_path / "odd.json"
+    path.write_text(json.dumps([1]))
+    with pytest.raises(FieldError, match="not an object"):
+        load({}, str(path))
+    path.write_text("{")
+    with pytest.raises(FieldError, match="not JSON"):
+        load({}, str(path))
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,473 @@
+"""The whole front on loopback sockets, before toy members that behave and that don't."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from typing import Any
+
+import pytest
+
+from examples.toy_server import Command, Member, body_of, entry, serve_all, tag_of
+from olivepost import interface as api
+from olivepost.net import sockets
+from olivepost.net.clients import Connection
+from tests.rig import NAME, WITHIN, Client, Rig, rig
+
+FILLED = "0a3a9c21e0b4d655"  # no toy cache keeps it
+
+
+# Clients
+
+
+def test_a_body_whole_and_unchanged() -> None:
+    with rig() as made, made.client() as client:
+        status, headers, body = client.ask()
+        assert (status, body) == (200, body_of(NAME, "3"))
+        assert headers["etag"] == f'"{tag_of(NAME, "3")}"' and "connection" not in headers
+        assert client.ask(piece=4)[2] == body_of(NAME, "4")
+        fields = next(it.fields for it in made.fetches(2) if it.fields["piece"] == "3")
+        assert fields["lane"] == "segment" and fields["name"] == NAME and fields["piece"] == "3"
+        assert 1 <= int(fields["ttl"]) <= 1500 and "within" not in fields and "miss" not in fields
+        assert made.front.engine.open == 0
+
+
+def test_a_miss_is_filled_from_the_parent() -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask(FILLED)[2] == body_of(FILLED, "3")
+        look, fill = made.fetches(2)
+        assert "miss" not in look.fields and fill.fields["miss"] == "p" and look.id == fill.id
+        assert made.parent.seen() == [] and made.origin.seen() == []
+
+
+def test_bodies_of_every_size() -> None:
+    sizes = {f"{size:016x}": bytes(range(256)) * (size // 256) + b"z" * (size % 256)
+             for size in (0, 1, 16_383, 16_384, 16_385, 240_000)}
+
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            command.answer("HIT", sizes[command.fields["name"]], why="warm", entity="x", issued="1")
+
+    with rig(reply) as made, made.client() as client:
+        for name, body in sizes.items():
+            assert client.ask(name)[2] == body
+
+
+def test_a_current_copy_gives_304() -> None:
+    tag = tag_of(NAME, "3")
+    with rig() as made, made.client() as client:
+        assert client.ask(If_None_Match=f'"{tag}"') == (304, {"etag": f'"{tag}"'}, b"")
+        assert made.fetches()[0].fields["mine"] == tag
+        for other in ('"old"', f'W/"{tag}"', f'"{tag}", "x"', "*", '"a,b"'):
+            assert client.ask(If_None_Match=other)[0] == 200
+        assert [command.fields.get("mine") for command in made.fetches(6)[1:]].count("old") == 1
+        assert sum("mine" in command.fields for command in made.fetches(6)) == 2
+
+
+def test_a_refusal_tells_when_to_come_back() -> None:
+    with rig() as made, made.client() as client:
+        status, headers, body = client.ask("f" * 16)
+        assert status == 503 and body == b"" and 1 <= int(headers["x-come-back-ms"]) <= 1000
+        assert client.ask()[0] == 200
+        assert made.counted("refused") == 1
+
+
+def test_any_split_and_a_second_request_in_the_buffer() -> None:
+    with rig() as made, made.client() as client:
+        data = client.request(piece=1) + client.request(piece=2)
+        for at in range(0, len(data), 7):
+            client.send(data[at : at + 7])
+        assert [client.read()[2] for _ in range(2)] == [body_of(NAME, "1"), body_of(NAME, "2")]
+        assert made.front.clients.open == 1
+
+
+def test_connection_close_is_honoured() -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask(Connection="close")[1]["connection"] == "close"
+        assert client.closed()
+
+
+def test_health() -> None:
+    with rig() as made, made.client() as client:
+        client.send(b"GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert client.read()[0] == 200
+        made.front.clients.drain()
+        client.send(b"GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n")
+        status, headers, _ = client.read()
+        assert status == 503 and headers["connection"] == "close" and client.closed()
+
+
+BAD = [
+    (Client.request(X_Call_Id=""), 400),
+    (Client.request(X_Call_Id="9B1F03AA5C7E2D41"), 400),
+    (Client.request(X_Call_Id="9b1f03aa5c7e2d4"), 400),
+    (Client.request(X_Patience_Ms=""), 400),
+    (Client.request(X_Patience_Ms="-1"), 400),
+    (Client.request(X_Patience_Ms="1e3"), 400),
+    (Client.request(X_Set="256"), 400),
+    (Client.request(X_Set=""), 400),
+    (Client.request(class_name="nobody"), 404),
+    (Client.request(name="xyz"), 404),
+    (b"GET /elsewhere HTTP/1.1\r\n\r\n", 404),
+    (Client.request().replace(b"GET", b"PUT"), 405),
+    (b"nonsense\r\n\r\n", 400),
+    (Client.request(Content_Length="1", Transfer_Encoding="chunked"), 400),
+    (Client.request(Transfer_Encoding="chunked"), 501),
+    (Client.request(Content_Length="999999"), 413),
+    (Client.request(Long="x" * 10_000), 431),
+]
+
+
+def test_bad_requests_get_their_status_and_reach_no_cache() -> None:
+    with rig() as made:
+        for data, status in BAD:
+            with made.client() as client:
+                client.send(data)
+                got, headers, _ = client.read()
+                assert (got, headers["connection"]) == (status, "close"), data[:60]
+                assert client.closed()
+        assert not any(member.seen() for member in made.members)
+
+
+@pytest.mark.parametrize("patience", [0, 1])
+def test_no_patience_is_refused_at_once(patience: int) -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask(patience=patience)[0] == 503
+        assert not any(member.seen() for member in made.members)
+
+
+def test_patience_beyond_the_deadline_is_taken() -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask(patience=999_999_999)[0] == 200
+        assert made.front.engine.open == 0
+
+
+def silent(member: Member, command: Command) -> None:
+    """A member that takes all and says nothing."""
+
+
+def test_a_client_that_leaves_releases_its_request_and_attempt() -> None:
+    with rig(silent) as made:
+        with made.client() as client:
+            client.send(client.request())
+            command = made.fetches()[0]
+            assert made.front.engine.open == 1
+        assert made.until(lambda: made.front.engine.open == 0)
+        assert made.until(lambda: any(cache.seen("abort") for cache in made.caches))
+        assert [it.id for cache in made.caches for it in cache.seen("abort")] == [command.id]
+
+
+def test_silence_gets_a_final_answer_within_the_patience() -> None:
+    with rig(silent) as made, made.client() as client:
+        began = time.monotonic()
+        assert client.ask(patience=300)[0] == 503
+        assert time.monotonic() - began < WITHIN
+        assert made.until(lambda: any(cache.seen("abort") for cache in made.caches))
+
+
+def test_a_client_that_does_not_read_harms_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    def narrow(sock: socket.socket, size: int) -> None:
+        """As if bodies were larger than the machine takes at once."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+
+    monkeypatch.setattr(sockets, "widen", narrow)
+
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
+
+    with rig(reply) as made:
+        stuck = []
+        for _ in range(8):  # more than there are writers
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.connect(made.address)
+            sock.sendall(Client.request())
+            stuck.append(sock)
+        assert made.until(lambda: made.counted("slow_clients") == 8)
+        with made.client() as client:
+            assert client.ask()[0] == 200
+        for sock in stuck:
+            sock.close()
+
+
+def test_an_id_in_use_fails_and_the_first_is_unharmed() -> None:
+    gate = threading.Event()
+
+    def reply(member: Member, command: Command) -> None:
+        gate.wait(WITHIN)
+        serve_all(member, command)
+
+    with rig(reply) as made, made.client() as first, made.client() as second:
+        request = Client.request(patience=15_000)
+        first.send(request)
+        made.fetches()
+        second.send(request)
+        assert second.read()[0] == 502
+        gate.set()
+        assert first.read()[0] == 200
+
+
+def test_a_fault_in_one_connection_ends_only_that(monkeypatch: pytest.MonkeyPatch) -> None:
+    route = Connection._route
+
+    def odd(self: Connection, message: Any, at: int) -> None:
+        if message.first[1] == "/fault":
+            raise RuntimeError("unforeseen")
+        route(self, message, at)
+
+    monkeypatch.setattr(Connection, "_route", odd)
+    with rig() as made, made.client() as bad, made.client() as good:
+        bad.send(b"GET /fault HTTP/1.1\r\n\r\n")
+        assert bad.closed()
+        assert good.ask()[0] == 200 and made.counted("connection_fault") == 1
+
+
+def test_a_fault_in_the_engine_fails_only_that_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    with rig() as made, made.client() as client:
+        handle = made.front.engine._router.handle
+
+        def odd(now: int, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request) and event.part == 13:
+                raise RuntimeError("unforeseen")
+            return handle(now, event)
+
+        monkeypatch.setattr(made.front.engine._router, "handle", odd)
+        assert client.ask(piece=13)[0] == 502
+        assert client.ask()[0] == 200 and made.counted("engine_fault") == 1
+
+
+def test_connections_beyond_the_cap_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    with rig(limits={"sockets": 64}) as made:
+        cap = made.front.config.bounds.clients
+        clients = [made.client() for _ in range(cap + 1)]
+        for client in clients[:cap]:
+            assert client.ask()[0] == 200
+        assert made.until(lambda: made.counted("clients_full") == 1)
+        clients[-1].send(Client.request())
+        clients[0].sock.close()
+        assert clients[-1].read()[0] == 200
+        for client in clients:
+            client.sock.close()
+
+
+# Servers
+
+
+def test_answers_in_any_order_on_one_link() -> None:
+    kept: list[Command] = []
+
+    def reply(member: Member, command: Command) -> None:
+        kept.append(command)
+        if len(kept) == 6:
+            for held in reversed(kept):
+                serve_all(member, held)
+
+    with rig(reply) as made:
+        clients = [made.client() for _ in range(6)]
+        for piece, client in enumerate(clients):
+            client.send(Client.request(piece=piece, patience=15_000))
+        for piece, client in enumerate(clients):
+            assert client.read()[2] == body_of(NAME, str(piece))
+            client.sock.close()
+
+
+@pytest.mark.parametrize(("word", "status"), [
+    ("NONE", 503), ("SHED", 503), ("FAULT", 503), ("LATE", 503), ("RIDDLE", 503), ("VALID", 503),
+])
+def test_every_other_word_ends_in_a_refusal(word: str, status: int) -> None:
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            command.answer(word)
+
+    with rig(reply) as made, made.client() as client:
+        assert client.ask()[0] == status
+        assert len(made.fetches()) >= 1
+
+
+@pytest.mark.parametrize("line", [
+    b"who knows\r\n", b"0000000000000000 HIT - 0\r\n\r\n",
+    b"{id} HIT - 240001\r\n", b"{id} HIT - 3\r\nabcd\r\n",
+])
+def test_a_link_that_speaks_nonsense_is_closed(line: bytes) -> None:
+    """Its open attempt counts as broken off; the request gets another attempt or its final answer."""
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            command.sock.sendall(line.replace(b"{id}", command.id.encode()))
+
+    with rig(reply) as made, made.client() as client:
+        assert client.ask()[0] == 503
+        assert made.counted("links_broken") >= 1
+
+
+def test_a_link_cut_within_a_body_is_no_answer() -> None:
+    cut: list[str] = []
+
+    def reply(member: Member, command: Command) -> None:
+        if not cut:
+            cut.append(member.id)
+            head = f"{command.id} HIT why=warm,entity=x,issued=1 100000\r\n"
+            command.sock.sendall(head.encode() + b"x" * 30_000)
+            command.sock.shutdown(socket.SHUT_RDWR)
+        else:
+            serve_all(member, command)
+
+    with rig(reply) as made, made.client() as client:
+        assert client.ask(patience=15_000)[2] == body_of(NAME, "3")
+        assert made.counted("links_broken") == 1
+
+
+def test_a_refused_connection_never_ran() -> None:
+    with rig() as made, made.client() as client:
+        for cache in made.caches:
+            cache.close()
+        assert client.ask()[0] == 503
+        assert made.counted("connect_failed") >= 1
+
+
+def test_an_answer_that_crosses_an_abort_is_dropped() -> None:
+    kept: list[Command] = []
+
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch" and not kept:
+            kept.append(command)
+        elif command.verb == "abort":
+            serve_all(member, kept[0])
+        else:
+            serve_all(member, command)
+
+    with rig(reply) as made:
+        with made.client() as client:
+            client.send(Client.request())
+            made.fetches()
+        assert made.until(lambda: any(cache.seen("abort") for cache in made.caches))
+        with made.client() as client:
+            assert client.ask()[0] == 200
+        assert made.counted("links_broken") == 0
+
+
+def test_a_silent_member_holds_up_no_other() -> None:
+    def reply(member: Member, command: Command) -> None:
+        if member.id == "b":
+            serve_all(member, command)
+
+    with rig(reply) as made, made.client() as client:
+        for piece in range(12):
+            assert client.ask(piece=piece, patience=15_000)[0] == 200
+
+
+# The list
+
+
+def test_a_member_that_drains_gets_nothing_new() -> None:
+    with rig() as made, made.client() as client:
+        made.coordinator.add(endpoints={"version": 2, "full": False, "servers": [
+            {**made.entries[0], "state": "terminating"}]})
+        placed = made.front.engine._router._members
+        assert made.until(lambda: placed is not made.front.engine._router._members)
+        for piece in range(20):
+            assert client.ask(piece=piece)[0] == 200
+        assert made.caches[0].seen() == [] and len(made.caches[1].seen()) == 20
+
+
+def test_a_new_member_on_an_old_address_gets_new_links() -> None:
+    with rig() as made, made.client() as client:
+        for piece in range(12):
+            assert client.ask(piece=piece)[0] == 200
+        old = made.caches[0]
+        before = len(old.connections)
+        assert before == 1
+        made.coordinator.add(endpoints={"version": 2, "full": False, "servers": [
+            {**made.entries[0], "state": "terminated"}, {**made.entries[0], "id": "new"}]})
+        assert made.until(lambda: "new" in made.front.engine._router._members)
+        for piece in range(12):
+            assert client.ask(piece=piece)[0] == 200
+        assert len(old.connections) == 2
+
+
+def test_purges_bound_the_age_of_copies() -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+        made.coordinator.add(evict={"ref": NAME, "unix_ms": time.time_ns() // 1_000_000 - 500})
+        made.coordinator.add(evict={"shard": 18, "unix_ms": time.time_ns() // 1_000_000})
+        purges = made.front.engine._router._purges
+        assert made.until(lambda: len(purges._times) == 2)
+        assert client.ask()[0] == 200 and client.ask("1" * 16)[0] == 200
+        first, bounded, other = made.fetches(3) if len(made.caches[0].seen()) in (0, 3) else sorted(
+            made.fetches(3), key=lambda it: it.id)
+        assert "within" not in first.fields and "within" not in other.fields
+        assert 500 <= int(bounded.fields["within"]) < 500 + WITHIN * 1000
+
+
+def test_a_gap_in_the_list_is_asked_for_again() -> None:
+    with rig() as made, made.client() as client:
+        assert made.coordinator.wait_for_poll(1)
+        late = entry(made.caches[0], state="terminating")
+        whole = {"version": 3, "full": True, "servers": made.entries[1:]}
+        with made.coordinator._change:
+            made.coordinator.events[:] = [
+                {"index": 5, "endpoints": {"version": 2, "full": False, "servers": [late]}},
+                {"index": 6, "endpoints": whole},
+            ]
+            made.coordinator._change.notify_all()
+        assert made.until(lambda: "a" not in made.front.engine._router._members)
+        assert client.ask()[0] == 200
+
+
+def test_odd_events_do_not_stop_those_behind_them() -> None:
+    with rig() as made, made.client() as client:
+        made.coordinator.add(endpoints={"servers": [{"id": "x y", "addr": "127.0.0.1:1"}]})
+        made.coordinator.add(evict={})
+        made.coordinator.add(evict={"ref": NAME, "unix_ms": time.time_ns() // 1_000_000})
+        assert made.until(lambda: len(made.front.engine._router._purges._times) == 1)
+        assert made.counted("updates_odd") == 2 and client.ask()[0] == 200
+
+
+def test_the_last_list_holds_while_the_coordinator_is_gone() -> None:
+    with rig() as made, made.client() as client:
+        made.coordinator.close()
+        assert made.until(lambda: made.counted("polls_failed") >= 2)
+        assert client.ask()[0] == 200
+
+
+# The end
+
+
+def test_sigterm_loses_nothing() -> None:
+    gate = threading.Event()
+
+    def reply(member: Member, command: Command) -> None:
+        gate.wait(WITHIN)
+        serve_all(member, command)
+
+    with rig(reply) as made, made.client() as client, made.client() as idle:
+        client.send(Client.request(patience=15_000))
+        made.fetches()
+        ending = threading.Thread(target=made.front.finish)
+        ending.start()
+        assert made.until(lambda: made.front.clients.draining)
+        with made.client() as late:
+            late.send(Client.request(patience=15_000))
+            gate.set()
+            status, headers, body = late.read()
+            assert (status, headers["connection"], body) == (200, "close", body_of(NAME, "3"))
+        status, headers, _ = client.read()
+        assert (status, headers["connection"]) == (200, "close") and client.closed()
+        assert idle.closed()
+        client.sock.close()
+        idle.sock.close()
+        ending.join(WITHIN)
+        assert not ending.is_alive() and made.front.clients.open == 0
+
+
+def test_a_front_starts_again_at_once_on_the_same_address() -> None:
+    with rig() as made:
+        client = made.client()
+        assert client.ask()[0] == 200
+        made.front.clients.stop()
+        again = Rig(listen=f"127.0.0.1:{made.address[1]}")
+        with again.client() as other:
+            assert other.ask()[0] == 200
+        again.close()
+        client.sock.close()
