--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -1,7 +1,6 @@
 """Every decision of a front; its settings, events and actions stand in olivepost/interface.py.
 
-No clock, no I/O. Parts: levels (f-TTL), pressure, name table, placement, health, purges; `Router` has
-the list, the warm-up budgets and the life of a request.
+No clock, no I/O. Parts: levels (f-TTL), pressure, names, placement, health, purges; `Router` has the rest.
 """
 
 import math
@@ -15,12 +14,11 @@
 
 from olivepost import interface as api
 
-SECOND = 1_000_000_000
+SECOND, LONG = 1_000_000_000, 1 << 62
 # f-TTL (design page; paper, III and V): longest lifetime, steps, targets, width of the threshold.
 LONGEST, STEP, SIZE_STEP, EPSILON = 60 * SECOND, 0.01, 0.0001, 0.1
 HIT_TARGET, SIZE_TARGET, FIRST_LEVEL, FIRST_SHALLOW = 0.8, 5 * SECOND, 0.5, 0.0
-LOW, MIDDLE, TOP = 1, 2, 3
-SOURCE_FAILED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
+LOW, MIDDLE, TOP, SOURCE_FAILED = 1, 2, 3, (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
 MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 20_000, 4_096
 # Own open fills that make placement skip: links' worth, a link where not told; deviations for chance.
@@ -87,8 +85,7 @@
 
     def __init__(self) -> None:
         self._names: dict[str, tuple[int, int, float]] = {}  # end, rank, size
-        self._ends: list[tuple[int, str]] = []
-        self._bytes = [0.0] * (TOP + 1)
+        self._ends, self._bytes = list[tuple[int, str]](), [0.0] * (TOP + 1)
 
     def left(self, now: int, name: str) -> int | None:
         """The time left of a name's timer; None where it has none."""
@@ -164,8 +161,7 @@
 
     def works(self, now: int) -> None:
         """It has answered: any suspension is over."""
-        self.heard, self.on_trial = now, False
-        self.doubt = 0.0 if self.until else self.doubt * EASED
+        self.heard, self.on_trial, self.doubt = now, False, 0.0 if self.until else self.doubt * EASED
         self.until = self.pause = 0
 
     def fails(self, now: int, weight: float) -> None:
@@ -188,8 +184,7 @@
     """Purges in force: how old a copy may be at most."""
 
     def __init__(self, gone_everywhere: int) -> None:
-        self._gone = gone_everywhere
-        self._times: dict[tuple[str, object], int] = {}
+        self._gone, self._times = gone_everywhere, dict[tuple[str, object], int]()
         self._dropped = -1  # a purge forgotten for want of room counts for every object
 
     def add(self, now: int, purge: api.Purge) -> None:
@@ -247,11 +242,9 @@
         self._members, self._warm = dict[str, Member](), dict[str, int]()  # warm: by role, those long up
         self._caches, self._parents, self._origin = Placement(), Placement(), ""
         self._tiers = {"cache": settings.caches, "parent": settings.parents, "origin": settings.caches}
-        self._levels = {name: Levels() for name in settings.classes}
-        self._names, self._purges = NameTable(), Purges(settings.purge_done)
-        self._slow = 0.1  # share of answers that outlast their patience
-        self._times: dict[str, float] = {}  # by class: mean sending time seen
-        self._done: dict[str, tuple[int, float]] = {}  # by role: work done lately, fading
+        self._levels, self._names = {name: Levels() for name in settings.classes}, NameTable()
+        self._purges, self._sending = Purges(settings.purge_done), list[int]()  # ends of own transfers
+        self._times, self._done, self._slow = dict[str, float](), dict[str, tuple[int, float]](), 0.1
         self._pressure, self._inlet = Pressure(self._random, *PRESS), Pressure(self._random, *INLET)
         self._held, self._timers = dict[str, Held](), dict[int, Callable[[int], None]]()
         self._tokens, self._retries, self._actions = 0, RETRY_SAVED, list[api.Action]()
@@ -315,6 +308,8 @@
             top = left is not None and self._names.top_has_room(name)
             rank = TOP if top else MIDDLE if left is not None or lifted else LOW
             self._names.put(name, now + int(levels.lifetime()), rank, request.size_kb or 1.0)
+        if self._serves(now, request, spec):
+            return
         if request.size_kb:
             self._seen(spec, self._sized(request))
         self._retries = min(RETRY_SAVED, self._retries + RETRY_EARN * (1 - self._pressure.level))
@@ -325,6 +320,19 @@
         self._pressure.learn(all(m.open + 1 > self._crowd(now, m) for m in caches if m.fit(now)))
         self._send(now, held, pressure=self._pressure)
 
+    def _serves(self, now: int, request: api.Request, spec: api.ClassSettings) -> bool:
+        """Departure: an own copy, fresh and younger than any purge, answers while the own link has room.
+
+        Guards caches' links and clients' connections, which a transfer holds; none on a front without copies.
+        """
+        self._sending = [end for end in self._sending if end > now]
+        copy, full = request.copy, len(self._sending) + 1 > self.settings.own_transfers
+        if not copy or full or copy.age > min(self._purges.oldest(now, request) or LONG, spec.fresh or LONG):
+            return False
+        self._sending.append(now + copy.span)
+        self._actions.append(api.Serve(request.id))
+        return True
+
     def _sized(self, request: api.Request) -> float:
         """The request's own sending time; 0 where its size is not told."""
         return request.size_kb * SECOND / (self.settings.pace_kb_per_s or math.inf)
@@ -339,8 +347,7 @@
         return self._times.get(spec.name, float(spec.aim))
 
     def _seen(self, spec: api.ClassSettings, span: float) -> None:
-        mean = self._times.get(spec.name, span)
-        self._times[spec.name] = mean + PACE_STEP * (span - mean)
+        self._times[spec.name] = (mean := self._times.get(spec.name, span)) + PACE_STEP * (span - mean)
 
     def _bear(self, now: int, role: str, work: float = 0.0) -> float:
         """Adds work that a mean warm member of a role got done; returns its rate in transfers."""
@@ -425,13 +432,10 @@
         looks = held.rank and not spec.fresh and held.missed != cache and held.sends + 1 < s.max_attempts
         warm = self._members[cache].role == "cache" and self._share(now, self._members[cache]) >= 1
         source = cache if looks and warm else source or cache
-        renew = spec.fresh > 0 and source != cache
-        troubled = held.sends > 0 or self._members[source].until > 0
-        age = spec.fresh + spec.grace * troubled if spec.fresh else 0
-        bound = self._purges.oldest(now, request)
-        age = min(age or bound, bound) if bound else age
-        for address in {cache: 0, source: 0}:
-            member = self._members[address]
+        renew, troubled = spec.fresh > 0 and source != cache, held.sends or self._members[source].until
+        age = spec.fresh + spec.grace * bool(troubled) if spec.fresh else 0
+        age = min(age or bound, bound) if (bound := self._purges.oldest(now, request)) else age
+        for member in (self._members[address] for address in {cache: 0, source: 0}):
             member.open += 1
             member.charge(now, s.fall_window, self._work(spec))
             member.on_trial = member.until > 0
@@ -473,9 +477,8 @@
 
     def _close(self, held: Held, attempt: Attempt) -> None:
         held.out.pop(attempt.number, None)
-        for address in dict.fromkeys((attempt.cache, attempt.source)):
-            if member := self._members.get(address):
-                member.open, member.on_trial = max(0, member.open - 1), False
+        for member in filter(None, map(self._members.get, dict.fromkeys((attempt.cache, attempt.source)))):
+            member.open, member.on_trial = max(0, member.open - 1), False
 
     def _ended(self, now: int, event: api.Outcome) -> None:
         """Learns from an outcome; what is still owed is sent again or given up at once."""
@@ -496,10 +499,9 @@
         """Learns from an answer: health, sending times, work done, and the class's levels."""
         hit = event.note in (api.Note.HIT, api.Note.STALE_HIT)
         filled = event.note in (api.Note.FILLED, api.Note.FILLED_BY_ORIGIN, api.Note.JOINED)
-        work, spec, size = self._work(held.spec), held.spec, held.request.size_kb
+        work, spec, size, s = self._work(held.spec), held.spec, held.request.size_kb, self.settings
         for address, shown, role in ((attempt.cache, True, "cache"), (attempt.source, filled, "parent")):
-            member = self._members.get(address)
-            if member and shown:
+            if shown and (member := self._members.get(address)):
                 member.works(now)
                 if not member.listed.started and member.role == role:
                     self._bear(now, role, work / max(1, self._warm[role]))
@@ -514,6 +516,7 @@
             missed = levels.shallow_lifetime() if held.left is None else levels.lifetime()
             sample = levels.lifetime() - (held.left or 0) if hit else missed
             levels.learn(hit, max(0.0, sample), size or 1.0)
+            self._actions += [api.Keep(event.id)] * (held.left is not None and s.own_transfers > 0)
 
     def _paced(self, address: str, late: bool) -> None:
         """Late hits speak of the cache, late fills of the source and of the ways to it."""
@@ -524,8 +527,8 @@
 
     def _failed(self, now: int, held: Held, attempt: Attempt, event: api.Outcome) -> None:
         """Blames the cache, its source, or nobody; a cache heard from since is not the silent one."""
-        cache, source, note, told = attempt.cache, attempt.source, event.note, self.settings.tells_causes
-        known = self._members.get(cache)
+        cache, source, note = attempt.cache, attempt.source, event.note
+        known, told = self._members.get(cache), self.settings.tells_causes
         heard = cache == held.missed or (known is not None and known.heard >= attempt.sent)
         match event.status:
             case api.Status.NO_COPY if source == cache and known:
@@ -556,6 +559,5 @@
     def _forget(self, request_id: str) -> None:
         if held := self._held.pop(request_id, None):
             for attempt in list(held.out.values()):
-                if self.settings.may_cancel:
-                    self._actions.append(api.Cancel(request_id, attempt.number))
+                self._actions += [api.Cancel(request_id, attempt.number)] * self.settings.may_cancel
                 self._close(held, attempt)
--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -9,7 +9,7 @@
 
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -181,6 +181,7 @@
     clients: int  # open connections of clients; further ones wait in the backlog
     links: int  # to one member: as many as carry one request of each client's connection
     buffers: int  # in the pool, each of `buffer_size`
+    copies: int  # of these, for copies of the front's own
     buffer_size: int = BUFFER_SIZE
     head_size: int = 8_192  # of a request's line and headers
     body_size: int = 240_000  # of an object
@@ -206,14 +207,16 @@
     known: object
     settings: api.Settings
     bounds: Bounds
+    flow: float  # bytes a second of one transfer on the front's own link; 0: it has none
 
 
 def read_bounds(top: Fields, settings: Fields) -> Bounds:
-    """The front's own limits: a third of the descriptors for clients, a quarter of the memory for bodies."""
+    """The front's own limits: a third of the descriptors for clients, half of the memory for bodies."""
     told, links = top.inner("limits"), settings.inner("limits")
     memory, sockets = told.within("memory_mb", 64, 1 << 20, 192), told.within("sockets", 64, 1 << 20, 1024)
     idle = links.within("conn-idle", 0, 3_600 * SECOND, 30 * SECOND)
     streams = int(links.within("max-streams", 1, 1 << 16, 32))
+    buffers = min(65_536, int(memory) * 1_048_576 // 2 // BUFFER_SIZE)
     clients = min(4_096, int(sockets) // 3 + 8)
     # A bound of 4 left calls without a link (never sent) whenever a member's answers took long at full load.
     most_links = min(int(sockets) // 8, -(-clients // streams) + 1)
@@ -221,7 +224,8 @@
         memory_mb=int(memory),
         sockets=int(sockets),
         clients=clients,
-        buffers=min(65_536, int(memory) * 1_048_576 // 4 // BUFFER_SIZE),
+        buffers=buffers,
+        copies=buffers * 2 // 3,
         links=most_links,
         streams=streams,
         connect=int(links.within("connect-timeout", 1, 60 * SECOND, 400 * MS)),
@@ -251,6 +255,8 @@
     else:
         address = top.address("listen")
     settings = read_settings(top.data.get("settings"))
+    flow, link = top.within("flow_bytes_per_s", 0, 1e15, 0), top.within("link_bytes_per_s", 0, 1e15, 0)
+    settings = replace(settings, own_transfers=link / flow if flow else 0.0)
     if not settings.classes:
         raise FieldError("settings lacks 'classes'")
     return Config(
@@ -261,6 +267,7 @@
         known=top.data.get("known"),
         settings=settings,
         bounds=read_bounds(top, top.inner("settings")),
+        flow=flow,
     )
 
 
--- a/olivepost/interface.py
+++ b/olivepost/interface.py
@@ -132,6 +132,7 @@
     retry_after: bool
     max_retry_after: int
     tick: int
+    own_transfers: float = 0.0  # that a front's own link carries at once; 0: it serves no copies of its own
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,9 +156,17 @@
     members: tuple[Listed, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """A copy of a front's own: since when the origin gave it out, and its time on the front's own link."""
+
+    age: int
+    span: int
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A client's request; `size_kb` 0 and `group` None mean not told."""
+    """A client's request; `size_kb` 0 and `group` None mean not told, `copy` None: the front has none."""
 
     id: str
     class_name: str
@@ -167,6 +176,7 @@
     group: int | None = None
     part: int = 0
     write: bool = False
+    copy: Copy | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,6 +266,20 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Final answer: the copy that came with the request."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Keep the answer that has just come as a copy of the front's own, as long as there is room."""
+
+    id: str
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Ask for a `TimerFired` after `delay`."""
@@ -269,4 +293,4 @@
     """Ask for changes of the list from now on."""
 
 
-Action = Fetch | Cancel | Refuse | Fail | SetTimer | Subscribe
+Action = Fetch | Cancel | Refuse | Fail | Serve | Keep | SetTimer | Subscribe
--- a/olivepost/net/buffers.py
+++ b/olivepost/net/buffers.py
@@ -51,11 +51,17 @@
 
 
 class Body:
-    """Bytes in buffers of a pool, which go back once."""
+    """Bytes in buffers of a pool, which go back once, when the last who shares them lets go."""
 
     def __init__(self, pool: Pool, buffers: list[bytearray], length: int) -> None:
         self._pool, self._buffers, self.length = pool, buffers, length
-        self._filled = 0
+        self._filled, self._shares = 0, 1
+        self._lock = threading.Lock()
+
+    @property
+    def buffers(self) -> int:
+        """How many buffers it holds."""
+        return len(self._buffers)
 
     @classmethod
     def reserve(cls, pool: Pool, length: int, within: float) -> Body | None:
@@ -79,7 +85,20 @@
             yield memoryview(buffer)[: min(left, len(buffer))]
             left -= len(buffer)
 
+    def share(self) -> Body:
+        """One more who reads these bytes and releases them."""
+        with self._lock:
+            if invariants.check(self._shares > 0, "body_shared_while_held"):
+                self._shares += 1
+        return self
+
     def release(self) -> None:
-        """Gives the buffers back; a second call has nothing to give."""
-        buffers, self._buffers = self._buffers, []
+        """Lets go; the last one gives the buffers back."""
+        with self._lock:
+            if not invariants.check(self._shares > 0, "body_released_once"):
+                return
+            self._shares -= 1
+            if self._shares:
+                return
+            buffers, self._buffers = self._buffers, []
         self._pool.give_back(buffers)
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -11,17 +11,19 @@
 
 from olivepost import interface as api
 from olivepost.choice import Router
-from olivepost.config import MS
+from olivepost.config import MS, SECOND
 from olivepost.net import invariants
 from olivepost.net.clock import Clock
+from olivepost.net.copies import Copies, Kept, answer_of
 from olivepost.net.exchange import Answer, Arrived, Exchange, Left, Verdict
 from olivepost.net.frames import command
 from olivepost.net.log import Log
-from olivepost.net.registry import Told
+from olivepost.net.registry import Heard, Told
 from olivepost.net.servers import Call, Ended, Servers, Unsent, fetch_fields
 
 LATE_TIMER = 5 * MS  # a timer that fires later than this is counted
 MOST_DELAYS = 100_000
+VOUCHED = 3 * SECOND  # after the coordinator was last heard: less than its events take to count as told
 
 
 class Stop:
@@ -33,18 +35,20 @@
     """A request that is owed an answer, and its attempts that are out."""
 
     exchange: Exchange
+    copy: Kept | None = None  # of the front's own, when the request came
     calls: dict[int, Call] = field(default_factory=dict)
     sends: int = 0
 
 
-Posted = Arrived | Left | Ended | Unsent | Told | Stop
+Posted = Arrived | Left | Ended | Unsent | Told | Heard | Stop
 
 
 class Engine:
     """Hosts one router."""
 
-    def __init__(self, router: Router, clock: Clock, log: Log) -> None:
-        self._router, self._clock, self._log = router, clock, log
+    def __init__(self, router: Router, clock: Clock, log: Log, copies: Copies, flow: float) -> None:
+        self._router, self._clock, self._log, self._copies, self._flow = router, clock, log, copies, flow
+        self._heard = 0  # when the coordinator was last heard
         self._servers: Servers
         self._queue: queue.SimpleQueue[tuple[int, Posted]] = queue.SimpleQueue()
         self._held: dict[str, Held] = {}
@@ -83,6 +87,7 @@
             if len(self._delays) < MOST_DELAYS:
                 self._delays.append(now - posted)
             if isinstance(event, Stop):
+                self._copies.clear()
                 return
             try:
                 self._take(now, event)
@@ -118,7 +123,7 @@
         self._serial += 1
         heappush(self._timers, (self._clock.now() + delay, self._serial, what))
 
-    def _take(self, now: int, event: Arrived | Left | Ended | Unsent | Told) -> None:
+    def _take(self, now: int, event: Arrived | Left | Ended | Unsent | Told | Heard) -> None:
         match event:
             case Arrived():
                 self._arrive(now, event.exchange)
@@ -134,6 +139,8 @@
                 if held and held.calls.get(event.call.number) is event.call:
                     event.call.moved = True
                     self._servers.send(event.call)
+            case Heard():
+                self._heard = now
             case Told():
                 self._told(now, event)
 
@@ -142,10 +149,14 @@
             self._log.count("id_used_twice")
             exchange.close(Answer(Verdict.FAILED))
             return
-        self._held[exchange.id] = Held(exchange)
+        # Without word of the coordinator a purge may have come that no copy here has heard of.
+        kept = self._copies.find(exchange) if self._flow and now - self._heard < VOUCHED else None
+        copy = api.Copy(max(0, now - kept.issued), int(kept.body.length / self._flow * 1e9)) if kept else None
+        self._held[exchange.id] = Held(exchange, kept)
         ttl = max(0, exchange.arrived + exchange.patience - now)
         request = api.Request(
-            exchange.id, exchange.class_name, exchange.object, ttl, group=exchange.group, part=exchange.part
+            exchange.id, exchange.class_name, exchange.object, ttl,
+            group=exchange.group, part=exchange.part, copy=copy,
         )
         self._do(self._router.handle(now, request))
 
@@ -156,6 +167,7 @@
         """
         if isinstance(event.what, api.Purge):
             purge = event.what
+            self._copies.purge(purge.object, purge.group, now - purge.age)
             self._do(self._router.handle(now, purge))
             back = self._servers.withdraw(
                 lambda call: call.exchange.object == purge.object
@@ -186,12 +198,20 @@
                 answer.release()
             return
         del held.calls[call.number]
+        body = answer.body.share() if answer and answer.body else None  # for the router's word on keeping it
         if answer is not None:
             self._close(held, answer)
         took = max(0, event.at - call.sent)
         final = answer is not None
         outcome = api.Outcome(call.exchange.id, call.number, event.status, took, final, event.note)
-        self._do(self._router.handle(now, outcome), held)
+        try:
+            actions = self._router.handle(now, outcome)
+            if answer is not None and api.Keep(call.exchange.id) in actions:
+                self._copies.keep(call.exchange, answer)
+        finally:
+            if body is not None:
+                body.release()
+        self._do(actions, held)
 
     def _close(self, held: Held, answer: Answer | None) -> None:
         """Ends a request; its attempts that are out are the router's to cancel."""
@@ -222,6 +242,13 @@
                             else Answer(Verdict.FAILED)
                         )
                         self._close(held, answer)
+                case api.Serve():
+                    held = self._held.get(action.id)
+                    if invariants.check(held is not None, "final_answer_is_owed") and held and held.copy:
+                        self._log.count("own_copies")
+                        self._close(held, answer_of(held.exchange, held.copy))
+                case api.Keep():
+                    pass  # done with the outcome that it goes with
                 case api.Subscribe():  # the long poll is always on
                     self.post(Told(api.Membership(api.ListKind.CHANGES, ()), []))
 
--- a/olivepost/net/exchange.py
+++ b/olivepost/net/exchange.py
@@ -27,6 +27,7 @@
     verdict: Verdict
     tag: str = ""
     body: Body | None = None
+    issued: int = 0  # when the origin gave out this copy, in Unix nanoseconds; 0: not told
     retry_after: int = 0
 
     def release(self) -> None:
--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -16,6 +16,7 @@
 from olivepost.net.buffers import Pool
 from olivepost.net.clients import Clients
 from olivepost.net.clock import Clock
+from olivepost.net.copies import Copies
 from olivepost.net.engine import Engine, Stop
 from olivepost.net.log import Log
 from olivepost.net.registry import Registry
@@ -35,7 +36,9 @@
         self.clock = Clock()
         self.log = Log(self.clock, config.name, bounds.log_lines, log_to)
         self.pool = Pool(bounds.buffers, bounds.buffer_size)
-        self.engine = Engine(Router(config.settings, config.seed), self.clock, self.log)
+        self.copies = Copies(bounds.copies)
+        router = Router(config.settings, config.seed)
+        self.engine = Engine(router, self.clock, self.log, self.copies, config.flow)
         self.servers = Servers(Tools(bounds, self.pool, self.clock, self.log, self.engine.post))
         self.engine.join_servers(self.servers)
         self.clients = Clients(
@@ -89,7 +92,8 @@
             events=count,
             engine_delay_ms={name: delays[at] / MS for name, at in shares.items()} if count else {},
             threads=threading.active_count(), descriptors=_descriptors(), memory_kb=_memory_kb(),
-            buffers=self.pool.out, most_buffers=self.pool.peak, broken=invariants.broken(),
+            buffers=self.pool.out, most_buffers=self.pool.peak,
+            copies=len(self.copies), broken=invariants.broken(),
             counts=self.log.totals(),
         )
 
--- a/olivepost/net/registry.py
+++ b/olivepost/net/registry.py
@@ -33,6 +33,10 @@
     places: list[Place]
 
 
+class Heard:
+    """The coordinator has answered; what it had to tell was posted before."""
+
+
 @dataclass(frozen=True, slots=True)
 class Update:
     """A numbered event."""
@@ -75,7 +79,7 @@
     """Follows the coordinator; what can't be read or reached leaves the last list in force."""
 
     def __init__(
-        self, coordinator: Address, clock: Clock, log: Log, post: Callable[[Told], None], seed: int
+        self, coordinator: Address, clock: Clock, log: Log, post: Callable[[Told | Heard], None], seed: int
     ) -> None:
         self._address, self._clock, self._log, self._post = coordinator, clock, log, post
         self._random = random.Random(seed)
@@ -184,4 +188,6 @@
         if message.first[0] != "200":
             raise ConnectionError(f"status {message.first[0]}")
         self._apply(orjson.loads(message.body))
+        if not self._resync:
+            self._post(Heard())
         return message.keeps_alive
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -329,7 +329,9 @@
         tag = head.fields.get("entity", "")
         answer = None
         if head.word == "HIT" and call.body is not None:
-            answer = Answer(Verdict.SERVED, tag, call.body)
+            issued = head.fields.get("issued", "")
+            known = issued.isascii() and issued.isdigit() and len(issued) < 16
+            answer = Answer(Verdict.SERVED, tag, call.body, int(issued) * MS if known else 0)
         elif head.word == "VALID" and call.exchange.tag:
             answer = Answer(Verdict.CURRENT, tag or call.exchange.tag)
         if answer is not None:
--- a/olivepost/simhost/codec.py
+++ b/olivepost/simhost/codec.py
@@ -167,6 +167,8 @@
             body = {"kind": "Timer", "delay": action.delay, "ref": action.token}
         case api.Subscribe():
             body = {"kind": "Watch", "want": True}
+        case api.Serve() | api.Keep():
+            raise ValueError("copies of a front's own are not on this wire")
     return {"front": front, **body}
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 
 from examples.toy_server import CONFIG, Coordinator, Member, Reply, entry, serve_all
 from olivepost.config import read_config
+from olivepost.net.engine import Stop
 from olivepost.net.front import Front
 
 NAME = "7f3a9c21e0b4d655"
@@ -132,6 +133,7 @@
         self.front.registry.stop()
         self.front.clients.stop()
         self.front.servers.close()
+        self.front.engine.post(Stop())
         for server in (*self.members, self.coordinator):
             server.close()
         self.front.log.close(WITHIN)
@@ -144,7 +146,7 @@
     made = Rig(reply, **changes)
     try:
         yield made
+        assert made.until(lambda: made.front.engine.open == 0), "a request is left open"
     finally:
         made.close()
-    assert made.until(lambda: made.front.engine.open == 0), "a request is left open"
     assert made.until(lambda: made.front.pool.out == 0), "a buffer is left out"
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -19,10 +19,16 @@
     assert config.settings.classes["image"].effect is api.Effect.SAFE
     bounds = config.bounds
     assert bounds.streams == 32 and bounds.connect == 400_000_000 and bounds.idle == 30_000_000_000
-    assert bounds.clients >= 1024 // 3 and bounds.buffers * bounds.buffer_size <= 192 * 1_048_576 // 4
+    assert bounds.clients >= 1024 // 3 and bounds.buffers * bounds.buffer_size <= 192 * 1_048_576 // 2
+    assert bounds.copies < bounds.buffers and config.settings.own_transfers == 0 == config.flow
     assert bounds.links * bounds.streams >= bounds.clients
 
 
+def test_own_link_in_transfers() -> None:
+    config = read_config(toy_config(flow_bytes_per_s=1000, link_bytes_per_s=4500.0), {})
+    assert config.settings.own_transfers == 4.5 and config.flow == 1000
+
+
 def test_variables_win_over_the_file() -> None:
     told = {"BALANCER_NAME": "n3", "BALANCER_LISTEN": "127.0.0.9:81", "BALANCER_CONFIG": str(CONFIG)}
     config = load(told)
@@ -52,6 +58,7 @@
     ({"settings": {"classes": [{"name": "a", "deadline": 1, "effect": "read_like"}]}}, "zone"),
     ({"settings": {"zone": "x", "classes": [{"name": "a", "deadline": 1, "effect": "odd"}]}}, "effect"),
     ({"name": 3}, "name"),
+    ({"flow_bytes_per_s": -1}, "flow_bytes_per_s"),
 ])
 def test_a_fault_names_its_key(changes: dict[str, Any], key: str) -> None:
     with pytest.raises(FieldError, match=key):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,6 +13,7 @@
 from olivepost import interface as api
 from olivepost.net import sockets
 from olivepost.net.clients import Connection
+from olivepost.net.engine import VOUCHED
 from tests.rig import NAME, WITHIN, Client, Rig, rig
 
 FILLED = "0a3a9c21e0b4d655"  # no toy cache keeps it
@@ -431,6 +432,45 @@
         assert client.ask()[0] == 200
 
 
+# Copies of the front's own
+
+
+OWN: dict[str, Any] = {"flow_bytes_per_s": 100_000_000, "link_bytes_per_s": 400_000_000}
+
+
+def ask_until_own(made: Rig, client: Client) -> None:
+    """The first answer is for a new name, the second is kept, the third is the front's own."""
+    assert made.until(lambda: made.front.engine._heard)
+    for _ in range(3):
+        assert client.ask()[2] == body_of(NAME, "3")
+    assert made.counted("own_copies") == 1 and len(made.fetches(2)) == 2
+
+
+def test_a_name_that_comes_again_is_served_from_the_fronts_own_copy() -> None:
+    with rig(**OWN) as made, made.client() as client:
+        ask_until_own(made, client)
+        tag = tag_of(NAME, "3")
+        assert client.ask(If_None_Match=f'"{tag}"') == (304, {"etag": f'"{tag}"'}, b"")
+        assert made.counted("own_copies") == 2 and len(made.fetches(2)) == 2
+
+
+def test_a_purge_ends_own_copies() -> None:
+    with rig(**OWN) as made, made.client() as client:
+        ask_until_own(made, client)
+        made.coordinator.add(evict={"shard": 17, "unix_ms": time.time_ns() // 1_000_000 + 1})
+        assert made.until(lambda: len(made.front.copies) == 0)
+        assert client.ask()[0] == 200 and len(made.fetches(3)) == 3
+
+
+def test_without_word_of_the_coordinator_no_own_copy_is_served() -> None:
+    with rig(**OWN) as made, made.client() as client:
+        ask_until_own(made, client)
+        made.coordinator.close()
+        assert made.until(lambda: made.counted("polls_failed") >= 2)
+        made.front.engine._heard -= VOUCHED
+        assert client.ask()[0] == 200 and made.counted("own_copies") == 1
+
+
 # The end
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -11,6 +11,7 @@
 from olivepost.net import invariants
 from olivepost.net.buffers import Body, Pool
 from olivepost.net.clock import Clock
+from olivepost.net.copies import Copies, answer_of
 from olivepost.net.exchange import Answer, Exchange, Verdict
 from olivepost.net.log import Log
 
@@ -25,7 +26,8 @@
     first = pool.take(1)
     assert first is not None and pool.take(1) is None
     body.release()
-    body.release()
+    with pytest.raises(AssertionError, match="body_released_once"):
+        body.release()
     assert pool.out == 1
     again = pool.take(3)
     assert again is not None and pool.peak == 4
@@ -33,6 +35,59 @@
     assert pool.out == 0
 
 
+def test_a_shared_body_goes_back_with_the_last_share() -> None:
+    pool = Pool(4, 10)
+    body = Body.reserve(pool, 10, 0)
+    assert body is not None
+    other = body.share()
+    body.release()
+    assert pool.out == 1
+    other.release()
+    assert pool.out == 0
+
+
+def make_exchange(part: int, group: int = 1, tag: str = "") -> Exchange:
+    return Exchange("1", "a", "b", part, group, tag, b"", 1, 1, lambda *_: None)
+
+
+def make_answer(pool: Pool, text: bytes, issued: int) -> Answer:
+    body = Body.reserve(pool, len(text), 0)
+    assert body is not None
+    body.add(memoryview(text))
+    return Answer(Verdict.SERVED, "t", body, issued)
+
+
+def test_own_copies_make_room_and_go_with_purges() -> None:
+    pool = Pool(20, 10)
+    copies = Copies(3)
+    for part in range(4):
+        answer = make_answer(pool, b"0123456789", 100 + part)
+        copies.keep(make_exchange(part, group=part % 2), answer)
+        answer.release()
+        assert copies.find(make_exchange(0)) is not None  # used last, so it stays
+    assert len(copies) == 3 and pool.out == 3 and copies.find(make_exchange(1)) is None
+    copies.purge(None, 0, 101)
+    assert copies.find(make_exchange(0)) is None and copies.find(make_exchange(2)) is not None
+    copies.purge("b", None, 102)
+    assert copies.find(make_exchange(2)) is None and copies.find(make_exchange(3)) is not None
+    kept = copies.find(make_exchange(3))
+    assert kept is not None
+    assert answer_of(make_exchange(3, tag="t"), kept).verdict is Verdict.CURRENT
+    served = answer_of(make_exchange(3, tag="u"), kept)
+    copies.clear()
+    assert served.body is not None and b"".join(served.body.parts()) == b"0123456789"
+    served.release()
+    assert pool.out == 0
+
+
+def test_a_copy_of_unknown_age_is_not_kept() -> None:
+    pool = Pool(4, 10)
+    copies, answer = Copies(3), make_answer(pool, b"x", 0)
+    copies.keep(make_exchange(1), answer)
+    answer.release()
+    assert len(copies) == 0 and pool.out == 0
+
+
 def test_an_empty_pool_waits_for_buffers_that_come_back() -> None:
     pool = Pool(1, 10)
     taken = pool.take(1)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,6 +1,7 @@
 """The life of a request, health, budgets and purges, one small case each."""
 
 import dataclasses
+from typing import Any
 
 import pytest
 
@@ -266,6 +267,42 @@
     assert room() <= before
 
 
+def own(front: Front, request_id: str, age: int, span: int = 100 * MS, **changes: Any) -> bool:
+    """Whether a request that comes with an own copy is answered from it."""
+    actions = front.ask(request_id, copy=api.Copy(age, span), **changes)
+    assert (api.Serve(request_id) in actions) is not bool(fetches(actions))
+    return api.Serve(request_id) in actions
+
+
+def test_own_copies_are_served_while_the_own_link_has_room() -> None:
+    front = Front(make_settings(own_transfers=2.5))
+    assert own(front, "1", 0) and own(front, "2", 50 * SECOND) and not own(front, "3", 0)
+    front.wait(100 * MS)
+    assert own(front, "4", 0)
+    assert not own(Front(make_settings()), "1", 0)
+
+
+def test_own_copies_are_fresh_and_younger_than_any_purge() -> None:
+    front = Front(make_settings(make_class(fresh=8 * SECOND, grace=30 * SECOND), own_transfers=9.0))
+    assert own(front, "1", 8 * SECOND) and not own(front, "2", 8 * SECOND + 1)
+    front.do(api.Purge(None, 1, 2 * SECOND))
+    assert not own(front, "3", 2 * SECOND + 1) and own(front, "4", 2 * SECOND)
+    assert own(front, "5", 3 * SECOND, group=2)
+
+
+def test_only_names_that_come_again_are_kept() -> None:
+    front = Front(make_settings(own_transfers=2.5))
+    kept = []
+    for request_id in ("1", "2"):
+        front.ask(request_id)
+        kept += [a for a in front.end(request_id, 0, OK, note=Note.HIT) if isinstance(a, api.Keep)]
+    assert kept == [api.Keep("2")]
+    front = Front(make_settings())
+    for request_id in ("1", "2"):
+        front.ask(request_id)
+        assert not any(isinstance(a, api.Keep) for a in front.end(request_id, 0, OK, note=Note.HIT))
+
+
 @pytest.mark.parametrize("by_group", [True, False])
 def test_purge_bounds_the_age_until_gone_everywhere(by_group: bool) -> None:
     front = Front(make_settings())
