A source is picked only for an attempt that is no look

Seen: the front is short of CPU on a slower machine; of the arrival's time half is Router._send, which picked a source before it knew that the attempt only looks. The look is known first now.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -419,7 +419,11 @@
         """Sends the next attempt, or gives up at once where none can be sent or it is too dear."""
         s, spec, request, left = self.settings, held.spec, held.request, held.deadline - now
         cache = self._pick(now, self._caches.order(held.name), held)
-        source = self._pick(now, self._parents.order(held.name), held) or self._origin
+        # Departure: a cache is first asked for what it has. Many fronts share a location, so a name new here
+        # may well be kept there; a miss is known before a source is named, and silence is the cache's own.
+        new = held.rank and not spec.fresh and held.missed != cache and held.sends + 1 < s.max_attempts
+        looks = new and cache and self._share(now, self._members[cache]) >= 1
+        source = cache if looks else self._pick(now, self._parents.order(held.name), held) or self._origin
         if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         spent = held.sends >= s.max_attempts or left <= s.tick or self._retries < price
@@ -427,11 +431,7 @@
         if cache is None or spent or dear or not self._may_repeat(now, held, cache):
             return self._give_up(held)
         self._retries -= price
-        # Departure: a cache is first asked for what it has. Many fronts share a location, so a name new here
-        # may well be kept there; a miss is known before a source is named, and silence is the cache's own.
-        looks = held.rank and not spec.fresh and held.missed != cache and held.sends + 1 < s.max_attempts
-        warm = self._members[cache].role == "cache" and self._share(now, self._members[cache]) >= 1
-        source = cache if looks and warm else source or cache
+        source = source or cache
         renew, troubled = spec.fresh > 0 and source != cache, held.sends or self._members[source].until
         age = spec.fresh + spec.grace * bool(troubled) if spec.fresh else 0
         age = min(age or bound, bound) if (bound := self._purges.oldest(now, request)) else age
