--- a/olivepost/net/buffers.py
+++ b/olivepost/net/buffers.py
@@ -15,7 +15,7 @@
         self.most, self.size = most, size
         self._free: list[bytearray] = []
         self._out: set[int] = set()
-        self._made, self.peak = 0, 0
+        self.peak = 0
         self._returned = threading.Condition()
 
     @property
@@ -31,15 +31,11 @@
         with self._returned:
             if not self._returned.wait_for(lambda: self.most - len(self._out) >= count, within):
                 return None
-            taken = [self._free.pop() if self._free else self._make() for _ in range(count)]
+            taken = [self._free.pop() if self._free else bytearray(self.size) for _ in range(count)]
             self._out.update(map(id, taken))
             self.peak = max(self.peak, len(self._out))
             return taken
 
-    def _make(self) -> bytearray:
-        self._made += 1
-        return bytearray(self.size)
-
     def give_back(self, buffers: list[bytearray]) -> None:
         """Takes buffers back, each once."""
         with self._returned:
--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -1,7 +1,7 @@
 """The client side: the listener, a reader thread a connection, and writers for the answers.
 
 A reader goes on reading while its request is open, so that a client that leaves is seen. Answers are
-written by a crew that grows with them: one client that reads slowly holds up one writer, nobody else.
+written by a few threads that wait for no client; one that reads slowly gets a thread of its own.
 """
 
 from __future__ import annotations
@@ -116,7 +116,7 @@
             connection.close_if_idle()
 
     def stop(self) -> None:
-        """Takes what the machine has accepted so far, then ends the listener."""
+        """Ends the listener."""
         listener, self._listener = self._listener, None
         if listener is not None:
             sockets.hang_up(listener)
@@ -146,18 +146,17 @@
                 left = connection.write(exchange, answer)
                 if left:
                     self._log.count("slow_clients")
-                    rest = (connection.finish, exchange, answer, left)
+                    rest = (connection, exchange, answer, left)
                     threading.Thread(target=self._rest, args=rest, name="slow-writer", daemon=True).start()
             except Exception:
                 self._log.fault("writer_fault")
                 connection.cut()
 
     def _rest(
-        self, finish: Callable[[Exchange, Answer, list[memoryview]], None],
-        exchange: Exchange, answer: Answer, left: list[memoryview],
+        self, connection: Connection, exchange: Exchange, answer: Answer, left: list[memoryview]
     ) -> None:
         try:
-            finish(exchange, answer, left)
+            connection.finish(exchange, answer, left)
         except Exception:
             self._log.fault("writer_fault")
 
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -101,9 +101,15 @@
         exchange = event.exchange if isinstance(event, (Arrived, Left)) else None
         if isinstance(event, (Ended, Unsent)):
             exchange = event.call.exchange
-        if exchange is not None and (held := self._held.get(exchange.id)) and held.exchange is exchange:
-            self._close(held, Answer(Verdict.FAILED))
-            self._do(self._router.handle(self._clock.now(), api.ClientLeft(exchange.id)), held)
+        if exchange is not None:
+            self._abandon(self._clock.now(), exchange, Answer(Verdict.FAILED))
+
+    def _abandon(self, now: int, exchange: Exchange, answer: Answer | None) -> None:
+        """Ends a request, if it is still held, and has the router give up what it has out."""
+        held = self._held.get(exchange.id)
+        if held and held.exchange is exchange:
+            self._close(held, answer)
+            self._do(self._router.handle(now, api.ClientLeft(exchange.id)), held)
 
     def _fire(self) -> None:
         """Fires what has come due."""
@@ -128,10 +134,7 @@
             case Arrived():
                 self._arrive(now, event.exchange)
             case Left():
-                held = self._held.get(event.exchange.id)
-                if held and held.exchange is event.exchange:
-                    self._close(held, None)
-                    self._do(self._router.handle(now, api.ClientLeft(event.exchange.id)), held)
+                self._abandon(now, event.exchange, None)
             case Ended():
                 self._ended(now, event)
             case Unsent():
--- a/olivepost/net/sockets.py
+++ b/olivepost/net/sockets.py
@@ -7,7 +7,7 @@
 import struct
 from collections.abc import Iterable
 
-SECOND = 1_000_000_000
+from olivepost.config import SECOND, Address
 
 
 def widen(sock: socket.socket, size: int) -> None:
@@ -26,7 +26,7 @@
         sock.setsockopt(socket.SOL_SOCKET, option, wait)
 
 
-def connect(address: tuple[str, int], within: int, receive: int, send: int) -> socket.socket:
+def connect(address: Address, within: int, receive: int, send: int) -> socket.socket:
     """A connection made in time, or an OSError."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from itertools import pairwise
 from typing import Any
 
 from olivepost import interface as api
@@ -105,3 +106,9 @@
 def finals(actions: list[api.Action]) -> list[api.Refuse | api.Fail]:
     """The final answers among the actions."""
     return [action for action in actions if isinstance(action, (api.Refuse, api.Fail))]
+
+
+def split(stream: bytes, cuts: list[int]) -> list[bytes]:
+    """A stream in pieces, cut at the places given."""
+    edges = [0, *sorted(cuts), len(stream)]
+    return [stream[start:end] for start, end in pairwise(edges)]
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,13 +1,13 @@
 """The members' wire: any split of the bytes gives the same answers, garbage only its own error."""
 
 import contextlib
-from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from olivepost.net.frames import END, Answers, FrameError, Head, command, read_fields
+from tests.helpers import split
 
 STREAM = (
     b"0123456789abcdef HIT why=warm,entity=4be0c1927d55a6f3,issued=1764576000123 7\r\nab\r\n\x00\xffc\r\n"
@@ -42,9 +42,7 @@
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.lists(st.integers(0, len(STREAM)), max_size=12))
 def test_any_split_gives_the_same(cuts: list[int]) -> None:
-    edges = [0, *sorted(cuts), len(STREAM)]
-    pieces = [STREAM[start:end] for start, end in pairwise(edges)]
-    assert read(pieces) == read([STREAM])
+    assert read(split(STREAM, cuts)) == read([STREAM])
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,13 +1,13 @@
 """HTTP/1.1: any split of the bytes gives the same messages, garbage only its own error."""
 
 import contextlib
-from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from olivepost.net.http1 import HttpError, Message, Parser, answer_head
+from tests.helpers import split
 
 STREAM = (
     b"GET /a HTTP/1.1\r\nHost: x\r\nX-Set:  17 \r\n\r\n"
@@ -35,9 +35,7 @@
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.lists(st.integers(0, len(STREAM)), max_size=12))
 def test_any_split_gives_the_same(cuts: list[int]) -> None:
-    edges = [0, *sorted(cuts), len(STREAM)]
-    pieces = [STREAM[start:end] for start, end in pairwise(edges)]
-    assert read(pieces) == read([STREAM])
+    assert read(split(STREAM, cuts)) == read([STREAM])
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
