--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -150,7 +150,7 @@
 
     def __init__(self, port: int = 0) -> None:
         self.events: list[dict[str, Any]] = []
-        self.polls = 0
+        self.polls, self.follows = 0, list[int]()
         self._change = threading.Condition()
         super().__init__(port)
 
@@ -172,10 +172,14 @@
             after, wait = int(asked["follow"]), min(5.0, int(asked["wait_ms"]) / 1000)
             with self._change:
                 self.polls += 1
+                self.follows.append(after)
                 self._change.notify_all()
                 self._wait(after, wait)
                 body = json.dumps({"index": len(self.events), "updates": self.events[after:]}).encode()
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            self.reply(sock, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    def reply(self, sock: socket.socket, data: bytes) -> None:
+        sock.sendall(data)
 
     def _wait(self, after: int, wait: float) -> None:
         self._change.wait_for(lambda: len(self.events) > after, wait)
--- a/olivepost/cli.py
+++ b/olivepost/cli.py
@@ -55,4 +55,4 @@
         return 0
     from olivepost.net.front import serve
 
-    return serve(config)
+    return serve(config, lambda: load(os.environ, given["--config"]))
--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -182,19 +182,22 @@
 
     memory_mb: int
     sockets: int
-    clients: int  # open connections of clients; further ones wait in the backlog
+    clients: int  # open connections of clients; at the cap the one idle longest makes room
     links: int  # to one member: as many as carry one request of each client's connection
     buffers: int  # in the pool, each of `buffer_size`
     copies: int  # of these, for copies of the front's own
-    buffer_size: int = BUFFER_SIZE
+    buffer_size: int
     head_size: int = 8_192  # of a request's line and headers
+    request_body: int = 16_384  # of a request; objects are not sent here
     body_size: int = 240_000  # of an object
     stack_size: int = 262_144
     streams: int = 32  # attempts on one link
     connect: int = 400 * MS
     idle: int = 30 * SECOND
-    client_idle: int = 30 * SECOND
+    client_first: int = 2 * SECOND  # from connecting to a whole request: who can't say one is closed in time
+    client_idle: int = 5 * SECOND  # from an answer to the next whole request: clients themselves stay for 4 s
     stall: int = 2 * SECOND  # a peer that takes no bytes for so long is given up
+    slow: int = 10 * SECOND  # for all of an answer, where its request's patience is longer still
     writers: int = 4  # threads that write answers
     log_lines: int = 10_000
     backlog: int = 512
@@ -214,22 +217,37 @@
     flow: float  # bytes a second of one transfer on the front's own link; 0: it has none
 
 
+PROGRAM = 24  # MB that the interpreter and all modules take before the first connection (22 measured)
+TABLES = 6  # MB for the module's names and the requests that are held, at the busiest rate seen
+PLACE = 64 * 1024  # bytes for a connection: what its thread touches of its stack, its objects and its request
+LEAST_BODIES = 64  # buffers without which nothing can be served
+
+
 def read_bounds(top: Fields, settings: Fields) -> Bounds:
-    """The front's own limits: a third of the descriptors for clients, half of the memory for bodies."""
+    """The front's own limits, as its memory and descriptors allow.
+
+    Clients have nearly half of the descriptors: the usual ones hold a third, the rest is for those that
+    should not be there. What the program and its threads leave of the memory is for bodies, in buffers that
+    are smaller where memory is short, since each connection holds one.
+    """
     told, links = top.inner("limits"), settings.inner("limits")
-    memory, sockets = told.within("memory_mb", 64, 1 << 20, 192), told.within("sockets", 64, 1 << 20, 1024)
+    memory, sockets = told.within("memory_mb", 16, 1 << 20, 192), told.within("sockets", 64, 1 << 20, 1024)
     idle = links.within("conn-idle", 0, 3_600 * SECOND, 30 * SECOND)
     streams = int(links.within("max-streams", 1, 1 << 16, 32))
-    buffers = min(65_536, int(memory) * 1_048_576 // 2 // BUFFER_SIZE)
-    clients = min(4_096, int(sockets) // 3 + 8)
+    size = BUFFER_SIZE if memory >= 128 else BUFFER_SIZE // 2 if memory >= 48 else BUFFER_SIZE // 4
+    clients = min(4_096, int(sockets) * 15 // 32)
     # A bound of 4 left calls without a link (never sent) whenever a member's answers took long at full load.
-    most_links = min(int(sockets) // 8, -(-clients // streams) + 1)
+    most_links = max(3, min(int(sockets) // 16, -(-clients // streams) + 2))
+    readers = clients + int(sockets) // 4
+    left = (int(memory) * 9 // 10 - PROGRAM - TABLES) * 1_048_576 - readers * (PLACE + size)
+    bodies = max(LEAST_BODIES, min(8_192, left * 4 // 5 // size))
     return Bounds(
         memory_mb=int(memory),
         sockets=int(sockets),
         clients=clients,
-        buffers=buffers,
-        copies=buffers * 2 // 3,
+        buffers=readers + bodies,
+        copies=bodies * 2 // 3,
+        buffer_size=size,
         links=most_links,
         streams=streams,
         connect=int(links.within("connect-timeout", 1, 60 * SECOND, 400 * MS)),
@@ -237,6 +255,13 @@
     )
 
 
+def fixed_keys(old: Config, new: Config) -> list[str]:
+    """The keys that differ and that a running front can't take over."""
+    named = {"name": "name", "listen": "listen", "seed": "seed", "settings": "settings", "bounds": "limits",
+             "flow": "flow_bytes_per_s"}
+    return [key for field, key in named.items() if getattr(old, field) != getattr(new, field)]
+
+
 def _read_seed(top: Fields) -> int:
     """The seed: hexadecimal digits, or a whole number."""
     value = top.data.get("seed", 0)
--- a/olivepost/net/buffers.py
+++ b/olivepost/net/buffers.py
@@ -9,11 +9,11 @@
 
 
 class Pool:
-    """Buffers of one size; made when first needed, at most so many, and kept."""
+    """Buffers of one size, all made at once: memory that grows later can't be told from a leak."""
 
     def __init__(self, most: int, size: int) -> None:
         self.most, self.size = most, size
-        self._free: list[bytearray] = []
+        self._free = [bytearray(size) for _ in range(most)]
         self._out: set[int] = set()
         self.peak = 0
         self._returned = threading.Condition()
@@ -31,7 +31,7 @@
         with self._returned:
             if not self._returned.wait_for(lambda: self.most - len(self._out) >= count, within):
                 return None
-            taken = [self._free.pop() if self._free else bytearray(self.size) for _ in range(count)]
+            taken = [self._free.pop() for _ in range(count)]
             self._out.update(map(id, taken))
             self.peak = max(self.peak, len(self._out))
             return taken
--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -1,11 +1,13 @@
 """The client side: the listener, a reader thread a connection, and writers for the answers.
 
 A reader goes on reading while its request is open, so that a client that leaves is seen. Answers are
-written by a few threads that wait for no client; one that reads slowly gets a thread of its own.
+written by a few threads that wait for no client; one that reads slowly gets a thread of its own. Each state
+of a connection has an absolute limit, whatever bytes still come; one thread ends what is past it.
 """
 
 from __future__ import annotations
 
+import errno
 import queue
 import re
 import socket
@@ -27,6 +29,9 @@
 GROUP = re.compile(r"[0-9]{1,3}", re.ASCII)
 STRONG_TAG = re.compile(r'"([!#-+\--<>-~]{1,128})"', re.ASCII)  # that a field on the members' wire can hold
 LINGER = 1 * SECOND  # for the client's end after ours, so that a reset does not overtake the answer
+LINGER_BYTES = 4_194_304  # that are read and dropped meanwhile
+LIMITS_EVERY = 0.1  # seconds between two looks at the limits
+FRESH = 50 * MS  # so long the request of a new connection may just be on its way
 REFUSED, FAILED = 503, 502
 
 
@@ -43,6 +48,7 @@
         self.draining = False
         self.writers = Writers(bounds.writers, log)
         self._room = threading.Semaphore(bounds.clients)
+        self._ended = threading.Event()
         self._lock = threading.Lock()
         self._open: set[Connection] = set()
         self._listener: socket.socket | None = None
@@ -65,26 +71,58 @@
             raise
         self._listener = listener
         threading.Thread(target=self._accept, args=(listener,), name="accept", daemon=True).start()
+        threading.Thread(target=self._watch, name="limits", daemon=True).start()
         bound: Address = listener.getsockname()
         return bound
 
     def _accept(self, listener: socket.socket) -> None:
         pause = threading.Event()
         while True:
-            if not self._room.acquire(blocking=False):
-                self.log.count("clients_full")
-                self._room.acquire()  # further ones wait in the backlog
             try:
                 sock, _ = listener.accept()
             except OSError as fault:
-                self._room.release()
                 if self._listener is None:
                     return
                 self.log.count("accept_failed")
-                self.log.event("accept_failed", why=fault.strerror)
-                pause.wait(0.05)  # out of descriptors: what is open must end first
+                if fault.errno not in (errno.ECONNABORTED, errno.EINTR):
+                    self.log.event("accept_failed", why=fault.strerror)
+                    pause.wait(0.05)  # out of descriptors: what is open must end first
                 continue
-            self._start(sock)
+            if self._room.acquire(blocking=False) or self._make_room():
+                self._start(sock)
+            else:
+                sock.close()
+
+    def _make_room(self) -> bool:
+        """At the cap the connection goes that has been idle longest; where all are busy, one is waited for.
+
+        Guards against clients that connect and say nothing, or ask once and stay; those that never asked go
+        before those that did, and are waited for where they come in a flood. Hurts where more clients share a
+        front than it has places for.
+        """
+        self.log.count("clients_full")
+        while self._listener is not None:
+            now = self.clock.now()
+            with self._lock:
+                mute = [connection for connection in self._open if not connection.asked]
+                idle = [connection for connection in self._open if connection.idle]
+            stale = [connection for connection in mute if now - connection.since > FRESH]
+            if go := stale or (idle if len(mute) < self.bounds.clients // 4 else []):
+                self.log.count("clients_evicted")
+                min(go, key=lambda connection: connection.since).evict()
+            if self._room.acquire(timeout=0.02):
+                return True
+        return False
+
+    def _watch(self) -> None:
+        """Ends what is past its limit."""
+        while not self._ended.wait(LIMITS_EVERY):
+            now = self.clock.now()
+            with self._lock:
+                past = [connection for connection in self._open if 0 < connection.limit < now]
+            for connection in past:
+                self.log.count("clients_past_limit")
+                connection.expire()
 
     def _start(self, sock: socket.socket) -> None:
         connection = Connection(self, sock)
@@ -122,6 +160,10 @@
             sockets.hang_up(listener)
             listener.close()
 
+    def end(self) -> None:
+        """Ends the watch over limits, last of all."""
+        self._ended.set()
+
 
 class Writers:
     """A few threads that write answers as far as the machine takes them at once.
@@ -167,13 +209,43 @@
     def __init__(self, side: Clients, sock: socket.socket) -> None:
         self._side, self._sock = side, sock
         self._lock = threading.Lock()
-        self._parser = http1.Parser(side.bounds.head_size, side.bounds.buffer_size)
+        self._parser = http1.Parser(side.bounds.head_size, side.bounds.request_body)
         self._exchange: Exchange | None = None
         self._keeps = True  # what the request in hand says of the connection
         self._closes = False  # what the answer in hand says of it
         self._ending = False  # our last answer has gone out
         self._gone = False
-        self._room = threading.Condition(self._lock)
+        self._dropped = 0  # bytes that came after our end
+        self.asked = False  # a request has come whole
+        self.since = side.clock.now()  # when it last had nothing open
+        # By then it must have got on, however its bytes trickle; 0: the engine's own deadline holds.
+        self.limit = self.since + side.bounds.client_first
+
+    @property
+    def idle(self) -> bool:
+        """Whether it has asked before, and nothing is open."""
+        return self.asked and self._exchange is None
+
+    def evict(self) -> None:
+        """Ends it at once, as its limit would have."""
+        self.limit = 0
+        sockets.hang_up(self._sock)
+
+    def expire(self) -> None:
+        """Past its limit: half a request gets an answer, who does not read or end gets none."""
+        if self._ending or self._exchange is not None or not self._lock.acquire(blocking=False):
+            self.evict()
+            return
+        try:
+            if self._exchange is not None or self._ending:
+                return
+            if self._parser.idle:
+                self._finish_sending()
+            else:
+                self._keeps = False
+                self._send(408, {})
+        finally:
+            self._lock.release()
 
     # The reader's thread.
 
@@ -184,7 +256,7 @@
             if room is None:
                 side.log.count("pool_empty")
             else:
-                sockets.tune(self._sock, side.bounds.client_idle, side.bounds.stall)
+                sockets.tune(self._sock, 0, side.bounds.stall)
                 sockets.widen(self._sock, side.bounds.body_size)
                 self._read(memoryview(room[0]))
         except OSError:
@@ -198,25 +270,18 @@
             side.gone(self)
 
     def _read(self, view: memoryview) -> None:
-        while True:
-            try:
-                count = self._sock.recv_into(view)
-            except BlockingIOError:  # nothing for as long as the receive limit says
-                if self._exchange is not None:
-                    continue
-                return
-            if not count:
-                return
+        while count := self._sock.recv_into(view):
             at = self._side.clock.now()
             with self._lock:
-                if self._ending:
-                    continue  # bytes after our end are of no use; the client's own end is waited for
-                self._parser.feed(view[:count])
-                self._advance(at)
-                # A client that sends on while its request is open is read no further than one more request.
-                full = self._side.bounds.head_size + self._side.bounds.buffer_size
-                while self._exchange is not None and self._parser.held > full and not self._gone:
-                    self._room.wait()
+                if self._ending:  # bytes after our end are of no use; the client's own end is waited for
+                    self._dropped += count
+                    if self._dropped > LINGER_BYTES:
+                        return
+                elif self._exchange is not None:
+                    self._ahead()
+                else:
+                    self._parser.feed(view[:count])
+                    self._advance(at)
 
     def _end(self) -> None:
         """The client has gone, or we have."""
@@ -239,11 +304,18 @@
                     return
                 self._keeps = message.keeps_alive
                 self._route(message, at)
+                if self._exchange is not None and self._parser.held:
+                    self._ahead()
             except HttpError as fault:
                 self._side.log.count(f"bad_request_{fault.status}")
                 self._keeps = False
                 self._send(fault.status, {"Allow": "GET"} if fault.status == 405 else {})
 
+    def _ahead(self) -> None:
+        """Bytes before the answer: a client has one request at a time, so these are not taken up."""
+        self._side.log.count("sent_ahead")
+        self._keeps = False
+
     def _route(self, message: Message, at: int) -> None:
         method, target = message.first
         if method != "GET":
@@ -266,18 +338,23 @@
             arrived=at,
             deliver=self._deliver,
         )
+        self.asked, self.limit = True, 0
         self._side.post(Arrived(exchange))
 
     def _send(self, status: int, headers: dict[str, str]) -> None:
-        """Writes an answer of the front's own, which has no body."""
+        """Writes an answer of the front's own, which has no body; who does not even take that is cut."""
         closes = not self._stays  # once: a drain that begins meanwhile must not end what was told to stay
         try:
-            sockets.send_parts(self._sock, [http1.answer_head(status, 0, headers, closes)])
+            head = http1.answer_head(status, 0, headers, closes)
+            left = sockets.send_parts(self._sock, [head], socket.MSG_DONTWAIT)
         except OSError:
+            left = [memoryview(b"")]
+        if left:
             self.cut()
-            closes = True
-        if closes:
+        if left or closes:
             self._finish_sending()
+        else:
+            self._rest()
 
     @property
     def _stays(self) -> bool:
@@ -290,13 +367,16 @@
         sockets.hang_up(self._sock)
 
     def _finish_sending(self) -> None:
-        self._ending = True
-        try:
-            sockets.tune(self._sock, LINGER, LINGER)
-        except OSError:
-            return
+        """Our end; the client has a while for its own."""
+        self._ending, self.limit = True, self._side.clock.now() + LINGER
+        self._parser.clear()
         sockets.hang_up(self._sock, socket.SHUT_WR)
 
+    def _rest(self) -> None:
+        """Nothing is open: the next request must be whole in time."""
+        self.since = self._side.clock.now()
+        self.limit = self.since + self._side.bounds.client_idle
+
     # The engine's thread, then a writer's.
 
     def _deliver(self, exchange: Exchange, answer: Answer) -> None:
@@ -315,7 +395,11 @@
             except OSError:
                 self.cut()
                 left = []
-            if not left:
+            if left:
+                now, bounds = self._side.clock.now(), self._side.bounds
+                until = max(exchange.arrived + exchange.patience, now + bounds.stall)
+                self.limit = min(until, now + bounds.slow)
+            else:
                 self._written(answer)
             return left
 
@@ -332,14 +416,14 @@
             self._written(answer)
 
     def _written(self, answer: Answer) -> None:
-        """After an answer: the connection is free, and what has been read meanwhile is next."""
+        """After an answer: the connection is free, or ends."""
         answer.release()
         self._side.log.count(answer.verdict.value)
         self._exchange = None
         if self._closes or not self._keeps:
             self._finish_sending()
-        self._advance(self._side.clock.now())
-        self._room.notify_all()
+        else:
+            self._rest()
 
     # The thread that ends the front.
 
--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -4,14 +4,16 @@
 
 import gc
 import os
+import queue
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
 from olivepost import __version__
 from olivepost.choice import Router
-from olivepost.config import MS, SECOND, Config
+from olivepost.config import MS, SECOND, Config, FieldError, fixed_keys
 from olivepost.net import invariants
 from olivepost.net.buffers import Pool
 from olivepost.net.clients import Clients
@@ -22,8 +24,8 @@
 from olivepost.net.registry import Registry
 from olivepost.net.servers import Servers, Tools
 
-FIGURES_EVERY = 10.0  # seconds
-TERM_ACCEPTS = 0.65  # seconds after SIGTERM for which clients still come
+FIGURES_EVERY = 10 * SECOND
+TERM_ACCEPTS = 650 * MS  # after SIGTERM for which clients still come
 TERM_LINGERS = 1.0  # seconds that clients have to end their connections after their last answer
 # Seconds that a thread may keep the interpreter while others wait. A tenth of it made a full core change
 # threads all the time, a fifth of its work; hurts where a thread computes for long, which none here does.
@@ -33,8 +35,11 @@
 class Front:
     """One front."""
 
-    def __init__(self, config: Config, log_to: int = 1) -> None:
+    def __init__(
+        self, config: Config, log_to: int = 1, read_again: Callable[[], Config] | None = None
+    ) -> None:
         self.config, bounds = config, config.bounds
+        self._read_again = read_again or (lambda: config)
         self.clock = Clock()
         self.log = Log(self.clock, config.name, bounds.log_lines, log_to)
         self.pool = Pool(bounds.buffers, bounds.buffer_size)
@@ -47,7 +52,8 @@
             bounds, config.settings.classes, self.pool, self.clock, self.log, self.engine.post
         )
         self.registry = Registry(config.coordinator, self.clock, self.log, self.engine.post, config.seed)
-        self.ending = threading.Event()
+        # Signals by name. Only a put of this kind of queue is safe in a handler, whatever it interrupts.
+        self.signals: queue.SimpleQueue[str] = queue.SimpleQueue()
 
     def start(self) -> tuple[str, int]:
         """Applies the list that is known, then opens the listener, so that no answer precedes the list."""
@@ -59,25 +65,57 @@
 
     def run(self) -> None:
         """Serves until a signal, then ends with nothing open."""
-        while not self.ending.wait(FIGURES_EVERY):
-            self.figures()
+        due = self.clock.now() + FIGURES_EVERY
+        while self._hear(due) != "end":
+            if self.clock.now() >= due:
+                self.figures()
+                due += FIGURES_EVERY
         self.finish()
 
+    def _hear(self, until: int) -> str:
+        """Waits for a signal at most so long; one that asks to read the configuration again is done here."""
+        try:
+            told = self.signals.get(timeout=max(0.0, (until - self.clock.now()) / SECOND))
+        except queue.Empty:
+            return ""
+        if told == "reload":
+            try:
+                self.reload()
+            except Exception:  # no configuration may end a front that runs
+                self.log.fault("reload_fault")
+        return told
+
+    def reload(self) -> None:
+        """Reads the configuration again; a faulty one leaves all as it was."""
+        try:
+            config = self._read_again()
+        except FieldError as fault:
+            self.log.count("reloads_failed")
+            self.log.event("reload_failed", why=str(fault))
+            return
+        moved = self.registry.follow(config.coordinator)
+        fixed = fixed_keys(self.config, config)
+        host, port = config.coordinator
+        self.log.event("reloaded", coordinator=f"{host}:{port}", moved=moved)
+        if fixed:
+            self.log.event("reload_needs_restart", keys=fixed)
+
     def finish(self) -> None:
         """Goes on taking what still comes after SIGTERM, answers all of it, and closes."""
         began = self.clock.now()
         self.log.event("draining", open=self.engine.open, connections=self.clients.open)
         self.clients.drain()
-        rest = threading.Event()
-        rest.wait(TERM_ACCEPTS)
+        while self.clock.now() < began + TERM_ACCEPTS:
+            self._hear(began + TERM_ACCEPTS)
         self.clients.close_idle()
         self.clients.stop()
         longest = max(spec.deadline for spec in self.config.settings.classes.values())
         until, lingers = began + longest + SECOND, TERM_LINGERS
         while self.clock.now() < until and (self.engine.open or (self.clients.open and lingers > 0)):
             lingers -= 0 if self.engine.open else 0.01
-            rest.wait(0.01)
+            self._hear(self.clock.now() + 10 * MS)
         self.registry.stop()
+        self.clients.end()
         self.figures()
         self.log.event("ended", open=self.engine.open, connections=self.clients.open)
         self.engine.post(Stop())
@@ -94,7 +132,7 @@
             events=count,
             engine_delay_ms={name: delays[at] / MS for name, at in shares.items()} if count else {},
             cpu_s=[round(span, 1) for span in os.times()[:2]],  # the front's own code, the system's
-            threads=threading.active_count(), descriptors=_descriptors(), memory_kb=_memory_kb(),
+            threads=threading.active_count(), descriptors=_descriptors(), **_memory(),
             buffers=self.pool.out, most_buffers=self.pool.peak,
             copies=len(self.copies), broken=invariants.broken(),
             counts=self.log.totals(),
@@ -109,22 +147,24 @@
         return -1
 
 
-def _memory_kb() -> int:
-    """The most memory held so far, in KB; -1 where the system does not tell."""
+def _memory() -> dict[str, int]:
+    """Memory held now and at most so far, in KB; nothing where the system does not tell."""
+    names = {"VmRSS:": "memory_kb", "VmHWM:": "most_memory_kb"}
     try:
-        lines = Path("/proc/self/status").read_text().splitlines()
+        lines = [line.split() for line in Path("/proc/self/status").read_text().splitlines()]
     except OSError:
-        return -1
-    return next((int(line.split()[1]) for line in lines if line.startswith("VmHWM:")), -1)
+        return {}
+    return {names[words[0]]: int(words[1]) for words in lines if words and words[0] in names}
 
 
-def serve(config: Config) -> int:
-    """Runs a front until SIGTERM or SIGINT; returns the exit code."""
+def serve(config: Config, read_again: Callable[[], Config]) -> int:
+    """Runs a front until SIGTERM or SIGINT; SIGHUP has it read its configuration again. The exit code."""
     threading.stack_size(config.bounds.stack_size)
     sys.setswitchinterval(SWITCH)
-    front = Front(config)
+    front = Front(config, read_again=read_again)
+    signal.signal(signal.SIGHUP, lambda *_: front.signals.put("reload"))
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: front.ending.set())
+        signal.signal(number, lambda *_: front.signals.put("end"))
     try:
         front.start()
     except OSError as fault:
--- a/olivepost/net/http1.py
+++ b/olivepost/net/http1.py
@@ -7,8 +7,9 @@
 
 REASONS = {
     200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported",
+    408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
 }
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 TARGET = re.compile(rb"[!-~]+")
@@ -97,6 +98,11 @@
         """Whether nothing of a next message has come."""
         return self._head is None and not self._data
 
+    def clear(self) -> None:
+        """Forgets what has come."""
+        self._data.clear()
+        self._head, self._seen = None, 0
+
     def feed(self, data: bytes | memoryview) -> None:
         self._data += data
 
--- a/olivepost/net/registry.py
+++ b/olivepost/net/registry.py
@@ -19,9 +19,13 @@
 from olivepost.net.servers import PLAIN, Place
 
 WAIT = 1 * SECOND  # of one poll: short, so that a dead one is noticed well before an event counts as told
-ANSWER_WITHIN = 2 * SECOND  # beyond the poll's own wait
-CONNECT_WITHIN = 1 * SECOND
-RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # seconds
+# An answer's last byte, beyond the poll's own wait, counted from when the poll was sent. Guards against a
+# coordinator that stops, breaks off or trickles: what it has counts as told 2 s after the wait, so that there
+# must be time left to ask again. Doubles with each try in a row, up to the most, for lists that take longer;
+# hurts where every answer does, by those first tries.
+ANSWER_FIRST, ANSWER_MOST = 600 * MS, 4 * SECOND
+CONNECT_WITHIN = 500 * MS
+RETRY_FIRST, RETRY_MOST = 0.03, 0.25  # seconds
 HEAD_SIZE, BODY_SIZE = 8_192, 16_777_216
 
 
@@ -81,21 +85,54 @@
     def __init__(
         self, coordinator: Address, clock: Clock, log: Log, post: Callable[[Told | Heard], None], seed: int
     ) -> None:
-        self._address, self._clock, self._log, self._post = coordinator, clock, log, post
-        self._random = random.Random(seed)
+        self.clock, self.log = clock, log
+        self._address, self._post, self._random = coordinator, post, random.Random(seed)
         self._last = 0
         self._whole = False  # whether a whole list has been seen
         self._resync = False
-        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._follower: Follower | None = None
 
     def start(self, known: object) -> None:
         """Applies the events of the configuration, then follows from there."""
         if known is not None:
             self._apply(known)
-        threading.Thread(target=self._run, name="registry", daemon=True).start()
+        self._follower = Follower(self, self._address, self._random.random())
 
     def stop(self) -> None:
-        self._stop.set()
+        """Ends the poll that is out."""
+        with self._lock:
+            follower, self._follower = self._follower, None
+        if follower is not None:
+            follower.end()
+
+    def follow(self, coordinator: Address) -> bool:
+        """Asks another coordinator at once, from the last number; False where it is the same.
+
+        What the old poll still brings is dropped: its events come again from the new one, none twice.
+        """
+        with self._lock:
+            old = self._follower
+            if coordinator == self._address or old is None:
+                return False
+            self._address = coordinator
+            self._follower = Follower(self, coordinator, self._random.random())
+        old.end()
+        return True
+
+    def next_number(self, follower: Follower) -> int | None:
+        """The last event that is had; None where somebody else follows now."""
+        with self._lock:
+            return (0 if self._resync else self._last) if follower is self._follower else None
+
+    def take(self, follower: Follower, data: object) -> None:
+        """An answer, whole."""
+        with self._lock:
+            if follower is not self._follower:
+                return
+            self._apply(data)
+            if not self._resync:
+                self._post(Heard())
 
     def _apply(self, data: object) -> None:
         """Takes an answer of the coordinator: events in order, none twice."""
@@ -105,17 +142,17 @@
             event = Fields("update", item)
             number, told = event.whole("index"), None
             try:
-                told = read_told(event, self._clock.now())
+                told = read_told(event, self.clock.now())
             except FieldError as fault:  # one that can't be read must not stop those behind it
-                self._log.count("updates_odd")
-                self._log.event("update_odd", index=number, why=str(fault))
+                self.log.count("updates_odd")
+                self.log.event("update_odd", index=number, why=str(fault))
             updates.append(Update(number, told))
         updates = [update for update in sorted(updates, key=lambda it: it.index) if update.index > self._last]
         first = updates[0] if updates else None
         gap = first is not None and first.index != self._last + 1 and not self._is_whole(first)
         if (gap or index < self._last) and not self._resync:
             # Events are missing, or the coordinator counts anew: all of them once more, from the first.
-            self._log.event("list_gap", had=self._last, told=index)
+            self.log.event("list_gap", had=self._last, told=index)
             self._resync = True
             if index < self._last:
                 self._last = 0
@@ -139,55 +176,85 @@
             return Told(api.Membership(api.ListKind.STORED, told.what.members), told.places)
         return told
 
+
+class Follower:
+    """A thread that polls one coordinator until somebody else is to follow."""
+
+    def __init__(self, registry: Registry, address: Address, jitter: float) -> None:
+        self._registry, self._address, self._random = registry, address, random.Random(jitter)
+        self._over = threading.Event()
+        self._sock: socket.socket | None = None
+        self._lock = threading.Lock()
+        threading.Thread(target=self._run, name="registry", daemon=True).start()
+
+    def end(self) -> None:
+        """Ends the poll that is out; a connection that is being made is dropped when it is there."""
+        self._over.set()
+        with self._lock:
+            if self._sock is not None:
+                sockets.hang_up(self._sock)
+
     def _run(self) -> None:
-        sock: socket.socket | None = None
-        tries, lost = 0, False
-        while not self._stop.is_set():
+        log, tries, lost = self._registry.log, 0, False
+        while not self._over.is_set():
             try:
-                if sock is None:
-                    sock = sockets.connect(self._address, CONNECT_WITHIN, WAIT + ANSWER_WITHIN, ANSWER_WITHIN)
-                    parser = http1.Parser(HEAD_SIZE, BODY_SIZE, answers=True)
-                keep = self._poll(sock, parser)
+                within = min(ANSWER_MOST, ANSWER_FIRST << min(tries, 8))
+                if self._sock is None:
+                    self._connect()
+                keep = self._poll(within)
                 if lost:
-                    self._log.event("coordinator_back", index=self._last)
+                    log.event("coordinator_back")
                 tries, lost = 0, False
-                if not keep:
-                    sock.close()
-                    sock = None
+                if keep:
+                    continue
+                self._drop()
             except (OSError, HttpError, FieldError, ValueError) as fault:
-                tries += 1
-                self._log.count("polls_failed")
-                if not lost:
-                    self._log.event("coordinator_lost", why=str(fault) or type(fault).__name__)
-                lost = True
+                if not lost and not self._over.is_set():
+                    log.event("coordinator_lost", why=str(fault) or type(fault).__name__)
+                log.count("polls_failed")
+                tries, lost = tries + 1, True
             except Exception:
                 tries += 1
-                self._log.fault("registry_fault")
-            else:
-                continue
-            if sock is not None:
-                sock.close()
-                sock = None
-            pause = min(RETRY_MOST, RETRY_FIRST * 2 ** min(tries, 10))
-            self._stop.wait(pause * (0.5 + self._random.random() / 2))
+                log.fault("registry_fault")
+            self._drop()
+            if tries:
+                pause = min(RETRY_MOST, RETRY_FIRST * 2 ** min(tries - 1, 10))
+                self._over.wait(pause * (0.5 + self._random.random() / 2))
+        self._drop()
+
+    def _connect(self) -> None:
+        sock = sockets.connect(self._address, CONNECT_WITHIN, WAIT + ANSWER_FIRST, ANSWER_FIRST)
+        with self._lock:
+            self._sock, self._parser = sock, http1.Parser(HEAD_SIZE, BODY_SIZE, answers=True)
+
+    def _drop(self) -> None:
+        with self._lock:
+            sock, self._sock = self._sock, None
+        if sock is not None:
+            sock.close()
 
-    def _poll(self, sock: socket.socket, parser: http1.Parser) -> bool:
+    def _poll(self, within: int) -> bool:
         """One poll; tells whether the connection can be used again."""
-        follow = 0 if self._resync else self._last
+        sock, clock = self._sock, self._registry.clock
+        follow = self._registry.next_number(self)
+        if sock is None or follow is None:
+            return False
         target = f"/v2/stream?follow={follow}&wait_ms={WAIT // MS}"
-        host = f"{self._address[0]}:{self._address[1]}"
-        sockets.send_parts(sock, [http1.request_head(target, host)])
-        until = self._clock.now() + WAIT + ANSWER_WITHIN
-        while (message := parser.take()) is None:
-            data = sock.recv(65_536)
+        until = clock.now() + WAIT + within
+        sockets.send_parts(sock, [http1.request_head(target, f"{self._address[0]}:{self._address[1]}")])
+        while (message := self._parser.take()) is None:
+            left = until - clock.now()
+            if left <= 0:
+                raise TimeoutError("the answer takes too long")
+            sockets.wait_for(sock, left)
+            try:
+                data = sock.recv(65_536)
+            except BlockingIOError:
+                continue
             if not data:
                 raise ConnectionError("closed by the coordinator")
-            if self._clock.now() > until:
-                raise TimeoutError("the answer takes too long")
-            parser.feed(data)
+            self._parser.feed(data)
         if message.first[0] != "200":
             raise ConnectionError(f"status {message.first[0]}")
-        self._apply(orjson.loads(message.body))
-        if not self._resync:
-            self._post(Heard())
+        self._registry.take(self, orjson.loads(message.body))
         return message.keeps_alive
--- a/olivepost/net/sockets.py
+++ b/olivepost/net/sockets.py
@@ -22,8 +22,17 @@
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     for option, span in ((socket.SO_RCVTIMEO, receive), (socket.SO_SNDTIMEO, send)):
-        wait = struct.pack("ll", span // SECOND, span % SECOND // 1_000)
-        sock.setsockopt(socket.SOL_SOCKET, option, wait)
+        sock.setsockopt(socket.SOL_SOCKET, option, _span(span))
+
+
+def _span(span: int) -> bytes:
+    """A wait as the kernel has it; 0 means for ever."""
+    return struct.pack("ll", span // SECOND, -(-(span % SECOND) // 1_000) % 1_000_000)
+
+
+def wait_for(sock: socket.socket, span: int) -> None:
+    """Sets how long the next read waits at most."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _span(span))
 
 
 def connect(address: Address, within: int, receive: int, send: int) -> socket.socket:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -46,6 +46,7 @@
 def test_limits_and_unknown_keys() -> None:
     config = read_config(toy_config(limits={"sockets": 256, "of_tomorrow": 1}, of_tomorrow=[]), {})
     assert config.bounds.sockets == 256 and config.bounds.memory_mb == 192
+    assert config.bounds.buffer_size == 16_384
     assert config.bounds.clients < 256 // 2
 
 
