Links that are spoilt or silent are left at once; answers of nobody are dropped

Checked: 124 good answers brought more than is theirs, and each broke its link with all that was open (servers.py _begin: an id that is not open raised FrameError). Ruled out: CPU (3.6 s of 25), connections (none not taken), the caches (3 turned away).

Now: what is framed but nobody's is read whole and dropped, by what is open, written and not yet answered on that link; an id used on a link does not go there again, so that a second NONE can't end the fill; a link silent in mid-answer for 0.4 s, or that does not answer 'alive' 0.4 s after 0.4 s of silence, is left; the first call of an ended link tells of it, the others are marked as sharing it; a body given up half-read goes back to the pool (it was lost); timers no longer keep calls that have ended.

--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -198,6 +198,15 @@
     client_idle: int = 5 * SECOND  # from an answer to the next whole request: clients themselves stay for 4 s
     stall: int = 2 * SECOND  # a peer that takes no bytes for so long is given up
     slow: int = 10 * SECOND  # for all of an answer, where its request's patience is longer still
+    # A member writes an answer in one go once it has it: a pause of this length within one, or one that
+    # takes longer than this in all, is a link that has stopped or trickles. Hurts where members stand still.
+    answer_pause: int = 400 * MS
+    answer_span: int = 2 * SECOND
+    # A link with calls that wait and no byte for so long is asked whether it is alive, and left if it does
+    # not say so in time: the word costs next to nothing, and members that stand still do so for less.
+    link_quiet: int = 400 * MS
+    alive_within: int = 400 * MS
+    link_look: int = 100 * MS  # how often a silent link is looked at
     writers: int = 4  # threads that write answers
     log_lines: int = 10_000
     backlog: int = 512
--- a/olivepost/interface.py
+++ b/olivepost/interface.py
@@ -189,7 +189,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """An attempt has ended; `final` says that the request is over."""
+    """An attempt has ended; `final` says that the request is over.
+
+    `shared`: by the end of a connection that another attempt's outcome has told of already.
+    """
 
     id: str
     attempt: int
@@ -197,6 +200,7 @@
     took: int
     final: bool = False
     note: Note = Note.NOTHING
+    shared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -52,7 +52,8 @@
         self._servers: Servers
         self._queue: queue.SimpleQueue[tuple[int, Posted]] = queue.SimpleQueue()
         self._held: dict[str, Held] = {}
-        self._timers: list[tuple[int, int, int | tuple[Held, int]]] = []
+        self._timers: list[tuple[int, int, int, bool]] = []  # due, serial, token, whether it is a call's
+        self._calls: dict[int, Call] = {}  # that are out, by their timer: one that has ended leaves nothing
         self._serial = 0
         self._delays: list[int] = []
 
@@ -114,20 +115,20 @@
     def _fire(self) -> None:
         """Fires what has come due."""
         while self._timers and self._timers[0][0] <= (now := self._clock.now()):
-            due, _, what = heappop(self._timers)
+            due, _, token, calls = heappop(self._timers)
             if now - due > LATE_TIMER:
                 self._log.count("timers_late")
             try:
-                if isinstance(what, int):
-                    self._do(self._router.handle(now, api.TimerFired(what)))
+                if calls:
+                    self._timed_out(now, token)
                 else:
-                    self._timed_out(now, *what)
+                    self._do(self._router.handle(now, api.TimerFired(token)))
             except Exception:
                 self._log.fault("engine_fault", kind="timer")
 
-    def _after(self, delay: int, what: int | tuple[Held, int]) -> None:
+    def _after(self, delay: int, token: int, calls: bool = False) -> None:
         self._serial += 1
-        heappush(self._timers, (self._clock.now() + delay, self._serial, what))
+        heappush(self._timers, (self._clock.now() + delay, self._serial, token, calls))
 
     def _take(self, now: int, event: Arrived | Left | Ended | Unsent | Told | Heard) -> None:
         match event:
@@ -185,8 +186,8 @@
         for call in back:
             self._ended(now, Ended(call, api.Status.NEVER_SENT, now))
 
-    def _timed_out(self, now: int, held: Held, number: int) -> None:
-        call = held.calls.get(number)
+    def _timed_out(self, now: int, timer: int) -> None:
+        call = self._calls.get(timer)
         if call is not None:
             if call.link is not None:
                 call.link.abort(call)
@@ -195,6 +196,7 @@
     def _ended(self, now: int, event: Ended) -> None:
         """An attempt's outcome; the first good answer goes to the client at once."""
         call, answer = event.call, event.answer
+        self._calls.pop(call.timer, None)
         held = self._held.get(call.exchange.id)
         if held is None or held.calls.get(call.number) is not call:
             if answer is not None:
@@ -208,7 +210,9 @@
             self._close(held, answer)
         took = max(0, event.at - call.sent)
         final = answer is not None
-        outcome = api.Outcome(call.exchange.id, call.number, event.status, took, final, event.note)
+        outcome = api.Outcome(
+            call.exchange.id, call.number, event.status, took, final, event.note, event.shared
+        )
         try:
             actions = self._router.handle(now, outcome)
             if answer is not None and api.Keep(call.exchange.id) in actions:
@@ -235,8 +239,10 @@
                 case api.Cancel():
                     held = self._held.get(action.id) or over.get(action.id)
                     call = held.calls.pop(action.attempt, None) if held else None
-                    if call is not None and call.link is not None:
-                        call.link.abort(call)
+                    if call is not None:
+                        self._calls.pop(call.timer, None)
+                        if call.link is not None:
+                            call.link.abort(call)
                 case api.Refuse() | api.Fail():
                     held = self._held.get(action.id)
                     if invariants.check(held is not None, "final_answer_is_owed") and held is not None:
@@ -266,5 +272,8 @@
         frame = command("fetch", exchange.id, fetch_fields(exchange, fetch), exchange.payload)
         call = Call(exchange, number, fetch.cache, fetch.source, self._clock.now(), frame)
         held.calls[number] = call
-        self._after(fetch.timeout, (held, number))
+        self._serial += 1
+        call.timer = self._serial
+        self._calls[call.timer] = call
+        self._after(fetch.timeout, call.timer, True)
         self._servers.send(call)
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -1,7 +1,8 @@
 """The server side: links to caches, parents and the origin.
 
 A link is one connection with a thread that connects and writes and one that reads. The engine hands over
-calls and aborts by the link's queue and learns what became of a call by a posted `Ended`.
+calls and aborts by the link's queue and learns what became of a call by a posted `Ended`. A link that is
+spoilt, stops in an answer, or does not even answer `alive` is left at once, with all that is open on it.
 """
 
 from __future__ import annotations
@@ -36,8 +37,9 @@
     "LATE": api.Status.NEVER_SENT,
 }
 PLAIN = re.compile(r"[!#-*\-.-<>-~]{1,200}", re.ASCII)  # what a field's value may hold on this wire
-MOST_ABORTED = 1_024  # ids a link remembers, whose answers may still be on the way
-ROOM_WAIT = 1.0  # seconds that a link waits for buffers before a body is given up
+MOST_PAST = 256  # ids a link remembers, of which more answers may still be on the way
+ROOM_WAIT = 0.05  # seconds that a link, with all its answers, waits for buffers before a body is given up
+PROBE = command("alive", "link")
 
 
 class Stage(Enum):
@@ -63,17 +65,23 @@
     moved: bool = False  # it was on a link that broke before that
     link: Link | None = None
     body: Body | None = None
+    short: bool = False  # there was no room for its body
+    timer: int = 0  # the engine's, for its timeout
 
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """A call has ended; `at` is when its last byte was read."""
+    """A call has ended; `at` is when its last byte was read.
+
+    `shared`: by the end of its link, which another call has told of already.
+    """
 
     call: Call
     status: api.Status
     at: int
     note: api.Note = api.Note.NOTHING
     answer: Answer | None = None
+    shared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +141,10 @@
         self._orders: queue.SimpleQueue[Call | bytes | None] = queue.SimpleQueue()
         self._lock = threading.Lock()
         self._calls: dict[str, Call] = {}
-        self._aborted: dict[str, None] = {}
+        self._past: dict[str, None] = {}  # ids that were open here
+        self._reading: Call | None = None  # whose answer is being read
+        self._heard = 0  # when something last came
+        self._probed = 0  # when `alive` was asked since then; 0: not
         self._sock: socket.socket | None = None
         self.over = False
         threading.Thread(target=self._run, name=f"link-{place.id}", daemon=True).start()
@@ -149,9 +160,9 @@
         return self._sock is not None and not self.over
 
     def bears(self, call: Call) -> bool:
-        """Whether the call can go here; an answer to an id given up here could be taken for its own."""
+        """Whether the call can go here; a second answer to an id used here could be taken for its own."""
         id_ = call.exchange.id
-        return self.open < self._tools.bounds.streams and id_ not in self._calls and id_ not in self._aborted
+        return self.open < self._tools.bounds.streams and id_ not in self._calls and id_ not in self._past
 
     def offer(self, call: Call) -> bool:
         """Takes a call; False where the link has ended."""
@@ -169,22 +180,29 @@
         with self._lock:
             if self._calls.get(call.exchange.id) is not call:
                 return
-            del self._calls[call.exchange.id]
-            written, call.stage = call.stage is Stage.WRITING, Stage.OVER
-            if written and not self.over:
-                self._aborted[call.exchange.id] = None
-                if len(self._aborted) > MOST_ABORTED:
-                    del self._aborted[next(iter(self._aborted))]
+            written = call.stage is Stage.WRITING
+            self._close(call)
+            if call.body is not None:
+                call.body.release()
+                call.body = None
         if written:
             self._orders.put(command("abort", call.exchange.id))
 
+    def _close(self, call: Call) -> None:
+        """The call is over here; with the lock held."""
+        del self._calls[call.exchange.id]
+        if call.stage is Stage.WRITING:
+            self._past[call.exchange.id] = None
+            if len(self._past) > MOST_PAST:
+                del self._past[next(iter(self._past))]
+        call.stage = Stage.OVER
+
     def withdraw(self, concerns: Callable[[Call], bool]) -> list[Call]:
         """Takes back calls that are still waiting to be written."""
         with self._lock:
             back = [call for call in self._calls.values() if call.stage is Stage.QUEUED and concerns(call)]
             for call in back:
-                call.stage = Stage.OVER
-                del self._calls[call.exchange.id]
+                self._close(call)
         return back
 
     def retire(self) -> None:
@@ -196,7 +214,7 @@
     def _run(self) -> None:
         bounds, log = self._tools.bounds, self._tools.log
         try:
-            sock = sockets.connect(self._place.address, bounds.connect, 0, bounds.stall)
+            sock = sockets.connect(self._place.address, bounds.connect, bounds.link_look, bounds.stall)
         except OSError as fault:
             log.count("connect_failed")
             log.event("connect_failed", member=self._place.id, why=fault.strerror or str(fault))
@@ -240,6 +258,7 @@
                         continue
                     order.stage = Stage.WRITING
                 self._send(sock, order.frame, order)
+                order.frame = b""  # a request that waits for its answer needs it no more
             else:
                 self._send(sock, order, None)
 
@@ -259,22 +278,35 @@
     # The thread that reads.
 
     def _read(self, sock: socket.socket) -> None:
-        pool, log = self._tools.pool, self._tools.log
+        pool, log, clock = self._tools.pool, self._tools.log, self._tools.clock
         room = pool.take(1, ROOM_WAIT)
         try:
             if room is None:
                 raise FrameError("no buffer to read into")
             view, answers = memoryview(room[0]), Answers(self._tools.bounds.body_size)
             head: Head | None = None
-            while count := sock.recv_into(view):
+            self._heard, began = clock.now(), 0  # began: when the first byte of the answer in hand came
+            while True:
+                try:
+                    count = sock.recv_into(view)
+                except BlockingIOError:
+                    self._look(clock.now(), began)
+                    continue
+                if not count:
+                    break
+                self._heard, self._probed = clock.now(), 0
                 for item in answers.feed(view[:count]):
                     if isinstance(item, Head):
                         head = item
                         self._begin(head)
                     elif head is not None and isinstance(item, End):
                         self._finish(head)
-                    elif head is not None and isinstance(item, memoryview):
-                        self._add(head, item)
+                        began = 0
+                    elif isinstance(item, memoryview) and self._reading is not None:
+                        self._add(item)
+                began = 0 if answers.between else began or self._heard
+                if began:
+                    self._look(self._heard, began)
             if self._calls or not answers.between:
                 self._broke("closed by the member")
         except FrameError as fault:
@@ -290,41 +322,67 @@
             sockets.hang_up(sock)
             self._orders.put(None)
 
+    def _look(self, now: int, began: int) -> None:
+        """Leaves a link that stopped in an answer, trickles it, or is silent altogether.
+
+        A silent one with calls that wait is asked whether it is alive: slow members answer that, dead ones,
+        cut-off ones and links that lost an answer's end don't. Hurts where a machine stands still for longer.
+        """
+        bounds = self._tools.bounds
+        if began and (now - self._heard > bounds.answer_pause or now - began > bounds.answer_span):
+            raise FrameError("silent in the middle of an answer")
+        if self._probed and now - self._probed > bounds.alive_within:
+            raise FrameError("no answer to 'alive'")
+        if began or self._probed:
+            return
+        with self._lock:
+            since = min((call.sent for call in self._calls.values() if call.begun), default=now)
+        if now - max(since, self._heard) > bounds.link_quiet:
+            self._tools.log.count("links_probed")
+            self._probed = now
+            self._orders.put(PROBE)
+
     def _begin(self, head: Head) -> None:
-        """An answer's line: finds its call, and room for its body."""
+        """An answer's line: finds its call, and room for its body.
+
+        One that is nobody's (given up, answered before, never written here) is read whole and dropped: the
+        bytes behind it are good. What can't be framed ends the link.
+        """
+        self._reading = None
         if head.word == "PONG":
             return
         with self._lock:
             call = self._calls.get(head.id)
-            known = call is not None or head.id in self._aborted
-        if not known:
-            raise FrameError(f"an answer to an id that is not open here: {head.id[:40]!r}")
-        if call is None or head.word != "HIT":
+            if call is None or call.stage is not Stage.WRITING:
+                self._tools.log.count("answers_again" if head.id in self._past else "answers_of_nobody")
+                return
+            self._reading = call
+        if head.word != "HIT":
             return
         body = Body.reserve(self._tools.pool, head.length, ROOM_WAIT)
         if body is None:
             self._tools.log.count("pool_empty")
         with self._lock:
-            if call.stage is not Stage.OVER:
+            call.short = body is None
+            if call is self._calls.get(head.id):
                 call.body, body = body, None
         if body is not None:
             body.release()
 
-    def _add(self, head: Head, piece: memoryview) -> None:
+    def _add(self, piece: memoryview) -> None:
         with self._lock:
-            call = self._calls.get(head.id)
-            if call is not None and call.body is not None:
+            call = self._reading
+            if call is not None and call.stage is not Stage.OVER and call.body is not None:
                 call.body.add(piece)
 
     def _finish(self, head: Head) -> None:
         """An answer is whole."""
         at = self._tools.clock.now()
         with self._lock:
-            call = self._calls.pop(head.id, None)
-            if call is None:
-                self._aborted.pop(head.id, None)
+            call, self._reading = self._reading, None
+            if call is None or call.stage is Stage.OVER:
                 return
-            call.stage = Stage.OVER
+            self._close(call)
         note = NOTES.get(head.fields.get("why", ""), api.Note.NOTHING)
         tag = head.fields.get("entity", "")
         answer = None
@@ -336,6 +394,8 @@
             answer = Answer(Verdict.CURRENT, tag or call.exchange.tag)
         if answer is not None:
             status = api.Status.OK
+        elif call.short:
+            status = api.Status.CANCELLED  # for want of room here: nothing to say of the member
         elif head.word in UNSERVED:
             status = UNSERVED[head.word]
         else:
@@ -355,20 +415,20 @@
         with self._lock:
             self.over = True
             calls, self._calls = list(self._calls.values()), {}
-            self._aborted.clear()
+            self._past.clear()
             for call in calls:
                 call.stage = Stage.OVER
-        now = self._tools.clock.now()
+        now, shared = self._tools.clock.now(), False
         for call in calls:
             if call.body is not None:
                 call.body.release()
                 call.body = None
-            if call.begun:
-                self._tools.post(Ended(call, api.Status.BROKEN_OFF, now))
-            elif self._sock is not None and not call.moved:
+            if not call.begun and self._sock is not None and not call.moved:
                 self._tools.post(Unsent(call))
-            else:
-                self._tools.post(Ended(call, api.Status.NOT_CONNECTED, now))
+                continue
+            status = api.Status.BROKEN_OFF if call.begun else api.Status.NOT_CONNECTED
+            self._tools.post(Ended(call, status, now, shared=shared))
+            shared = True
 
 
 @dataclass(slots=True)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from examples.toy_server import CONFIG, Coordinator, Member, Reply, entry, serve_all
+from olivepost import interface as api
 from olivepost.config import read_config
 from olivepost.net.engine import Stop
 from olivepost.net.front import Front
@@ -106,6 +107,15 @@
         self._nowhere = os.open(os.devnull, os.O_WRONLY)
         read = read_config(config, {})
         self.front = Front(replace(read, bounds=replace(read.bounds, **(bounds or {}))), self._nowhere)
+        self.told: list[api.Outcome] = []
+        router = self.front.engine._router
+        handle = router.handle
+
+        def noted(now: int, event: api.Event) -> list[api.Action]:
+            self.told += [event] if isinstance(event, api.Outcome) else []
+            return handle(now, event)
+
+        router.handle = noted  # type: ignore[method-assign]
         self.address = self.front.start()
 
     def client(self) -> Client:
@@ -130,6 +140,11 @@
             pause.wait(0.005)
         return False
 
+    def outcomes(self, status: str, count: int) -> list[api.Outcome]:
+        """The outcomes of a kind that the router was told of, once there are so many."""
+        assert self.until(lambda: len([it for it in self.told if it.status.name == status]) >= count)
+        return [it for it in self.told if it.status.name == status]
+
     def counted(self, name: str) -> int:
         return self.front.log.totals().get(name, 0)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -408,7 +408,7 @@
 
 
 @pytest.mark.parametrize("line", [
-    b"who knows\r\n", b"0000000000000000 HIT - 0\r\n\r\n",
+    b"who knows\r\n", b"{id} HIT - 3000000000\r\nxx", b"x" * 2_000,
     b"{id} HIT - 240001\r\n", b"{id} HIT - 3\r\nabcd\r\n",
 ])
 def test_a_link_that_speaks_nonsense_is_closed(line: bytes) -> None:
@@ -422,6 +422,150 @@
         assert made.counted("links_broken") >= 1
 
 
+def test_answers_of_nobody_are_dropped_and_the_link_goes_on() -> None:
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            Command(command.sock, "fetch", "0" * 16, {}, b"").answer("HIT", b"y" * 70_000, why="warm")
+            serve_all(member, command)
+            command.sock.sendall(b"0000000000000001 FAULT - 0\r\n\r\n")
+            serve_all(member, command)
+
+    with rig(reply) as made, made.client() as client:
+        for piece in range(12):
+            assert client.ask(piece=piece)[2] == body_of(NAME, str(piece))
+        assert made.counted("links_broken") == 0 and made.counted("answers_of_nobody") >= 12
+        assert made.until(lambda: made.counted("answers_again") >= 11)
+        assert sum(len(cache.connections) for cache in made.caches) == 2
+
+
+def test_a_second_answer_is_not_taken_for_the_next_attempt() -> None:
+    """The fill goes under the same id as the look; the look's second NONE must not end it."""
+    def reply(member: Member, command: Command) -> None:
+        serve_all(member, command)
+        if command.verb == "fetch" and "miss" not in command.fields:
+            command.answer("NONE")
+
+    with rig(reply) as made, made.client() as client:
+        for piece in range(6):
+            assert client.ask(FILLED, piece=piece)[2] == body_of(FILLED, str(piece))
+        assert len(made.fetches(12)) == 12 and made.counted("attempts_no_copy") == 6
+
+
+STOPS = [b"{id} HIT why=warm,entity=x,issued=1 100000\r\n" + b"x" * 30_000, b"{id} HI", b""]
+
+
+@pytest.mark.parametrize("begun", STOPS)
+def test_a_link_that_stops_is_left_with_all_that_is_open_on_it(begun: bytes) -> None:
+    """In mid-answer, or for good: `alive` gets no answer either. Its calls go elsewhere in time."""
+    stopped: list[socket.socket] = []
+
+    def reply(member: Member, command: Command) -> None:
+        if command.sock in stopped:
+            return
+        if member.id == "a" and len(stopped) == 0 and command.verb == "fetch":
+            stopped.append(command.sock)
+            command.sock.sendall(begun.replace(b"{id}", command.id.encode()))
+        else:
+            serve_all(member, command)
+
+    with rig(reply) as made:
+        clients = [made.client() for _ in range(16)]
+        for piece, client in enumerate(clients):
+            client.send(Client.request(piece=piece, patience=15_000))
+        for piece, client in enumerate(clients):
+            assert client.read()[2] == body_of(NAME, str(piece))
+            client.sock.close()
+        assert made.counted("links_broken") == 1 and made.counted("attempts_timed_out") == 0
+        assert (made.counted("links_probed") == 1) is (begun == b"")
+
+
+def test_an_answer_that_trickles_ends_its_link() -> None:
+    over = threading.Event()
+    begun: list[socket.socket] = []
+
+    def reply(member: Member, command: Command) -> None:
+        if begun or command.verb != "fetch":
+            serve_all(member, command)
+            return
+        begun.append(command.sock)
+        command.sock.sendall(f"{command.id} HIT why=warm,entity=x,issued=1 100000\r\n".encode())
+        try:
+            while not over.wait(0.02):
+                command.sock.sendall(b"x")
+        except OSError:
+            pass
+
+    with rig(reply, bounds={"answer_span": 300_000_000}) as made, made.client() as client:
+        assert client.ask(patience=15_000)[2] == body_of(NAME, "3")
+        assert made.counted("links_broken") == 1
+        over.set()
+
+
+def test_a_slow_member_that_says_it_is_alive_keeps_its_link() -> None:
+    gate = threading.Event()
+    held: list[Command] = []
+
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            held.append(command)
+            if gate.is_set():
+                serve_all(member, command)
+        else:
+            serve_all(member, command)
+            if len(member.seen("alive")) >= 2:
+                gate.set()
+                for waiting in held:
+                    serve_all(member, waiting)
+
+    with rig(reply, bounds={"link_quiet": 100_000_000}) as made, made.client() as client:
+        assert client.ask(patience=15_000)[2] == body_of(NAME, "3")
+        assert made.counted("links_probed") >= 2 and made.counted("links_broken") == 0
+
+
+def test_a_link_with_many_calls_is_one_piece_of_evidence() -> None:
+    cut = threading.Event()
+
+    def reply(member: Member, command: Command) -> None:
+        if cut.is_set():
+            serve_all(member, command)
+        elif len(made.fetches()) >= 24:
+            cut.set()
+            for cache in made.caches:
+                for sock in cache.connections:
+                    sock.shutdown(socket.SHUT_RDWR)
+
+    with rig(reply) as made:
+        clients = [made.client() for _ in range(24)]
+        for piece, client in enumerate(clients):
+            client.send(Client.request(piece=piece, patience=15_000))
+        outcomes = made.outcomes("BROKEN_OFF", 24)
+        assert sum(not outcome.shared for outcome in outcomes) == made.counted("links_broken") == 2
+        for client in clients:
+            assert client.read()[0] in (200, 503)
+            client.sock.close()
+
+
+def test_an_attempt_given_up_in_its_body_returns_the_buffers() -> None:
+    over = threading.Event()
+
+    def reply(member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            command.sock.sendall(f"{command.id} HIT why=warm,entity=x,issued=1 200000\r\n".encode())
+            command.sock.sendall(b"x" * 100_000)
+            over.wait(WITHIN)
+            command.sock.sendall(b"x" * 100_000 + b"\r\n")
+
+    bounds = {"answer_pause": 60 * 10**9, "answer_span": 60 * 10**9}
+    with rig(reply, bounds=bounds) as made:
+        with made.client() as client:
+            client.send(Client.request(patience=15_000))
+            made.fetches()
+            assert made.until(lambda: made.front.pool.out > 15)
+        assert made.until(lambda: made.front.engine.open == 0)
+        assert made.until(lambda: made.front.pool.out < 10)
+        over.set()
+
+
 def test_a_link_cut_within_a_body_is_no_answer() -> None:
     cut: list[str] = []
 
