Errors that follow a request blame nobody; a link's end is one piece of evidence

Ruled out: the caches (none turned away, no error to usual clients), the front (engine delay 0.02 ms).

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from hashlib import blake2b
 from heapq import heappop, heappush
 from zlib import crc32
@@ -20,7 +21,7 @@
 HIT_TARGET, SIZE_TARGET, FIRST_LEVEL, FIRST_SHALLOW = 0.8, 5 * SECOND, 0.5, 0.0
 LOW, MIDDLE, TOP, SOURCE_FAILED = 1, 2, 3, (api.Note.SOURCE_REFUSED, api.Note.SOURCE_LOST)
 TOP_SHARE = 0.1  # of the live names' bytes, which span more time than caches do
-MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 20_000, 4_096
+MOST_NAMES, MOST_PLACES, MOST_PURGES = 40_000, 16_384, 4_096
 # Own open fills that make placement skip: links' worth, a link where not told; deviations for chance.
 CROWD, CHANCE = {"cache": (1.5, 6.5), "parent": (3.0, 32.0)}, 3.0
 # Health: what an answer leaves of doubt, odds against a dead member, a suspended one's wait for its trial.
@@ -60,11 +61,9 @@
 
 
 class Pressure:
-    """Overload: a level that full caches raise, and the cost a request may have under it.
+    """Overload: a level that full caches raise (as ϑ, by step·(full − target)), and the cost borne under it.
 
-    Guards against more work than caches, or their ways in, can serve in time, whatever took the capacity.
-    Moves as ϑ does: step·(full − target), clamped. Hurts where caches are held full by silence.
-    """
+    Guards against more work than caches, or ways in, can serve. Hurts where silence holds caches full."""
 
     def __init__(self, draw: random.Random, step: float, spared: float) -> None:
         self.level, self._mean, self._draw, self._step, self._spared = 0.0, 0.0, draw, step, spared
@@ -114,25 +113,10 @@
         self._bytes[rank] -= size
 
 
-class Placement:
-    """Rendezvous order of a list's members for a name, remembered."""
-
-    def __init__(self) -> None:
-        self._members, self._orders = list[str](), dict[str, tuple[str, ...]]()
-
-    def set(self, members: list[str]) -> None:
-        """Takes the members; orders are remembered for as long as these stay the same."""
-        if members != self._members:
-            self._members, self._orders = members, {}
-
-    def order(self, name: str) -> tuple[str, ...]:
-        """All members, the name's own place first."""
-        if name not in self._orders:
-            if len(self._orders) >= MOST_PLACES:
-                self._orders.clear()
-            marks = ((blake2b(f"{m} {name}".encode(), digest_size=8).digest(), m) for m in self._members)
-            self._orders[name] = tuple(m for _, m in sorted(marks))
-        return self._orders[name]
+@lru_cache(MOST_PLACES)
+def place(name: str, members: tuple[str, ...]) -> tuple[str, ...]:
+    """Rendezvous order of a list's members for a name, its own place first; remembered."""
+    return tuple(sorted(members, key=lambda m: blake2b(f"{m} {name}".encode(), digest_size=8).digest()))
 
 
 @dataclass(slots=True)
@@ -167,11 +151,9 @@
     def fails(self, now: int, weight: float) -> None:
         """It has failed or stayed silent; enough of it, or a lost trial, suspends it, longer each time.
 
-        Guards against members that are gone, silent, or answer with errors, whatever the cause; also meets
-        cut links and full disks. Hurts where chance failures send a good member's names elsewhere.
-        """
+        Guards against members gone, silent or failing, cut links, full disks. Hurts where chance fails."""
         self.doubt += weight
-        if self.on_trial or self.doubt >= 1:
+        if self.on_trial or (self.doubt >= 1 and now >= self.until):  # what was out before says nothing new
             self.pause = min(LONGEST_PAUSE, 2 * self.pause) if self.until else FIRST_PAUSE
             self.until, self.on_trial = now + self.pause, False
 
@@ -230,6 +212,8 @@
     sends: int = 0
     begun: bool = False
     missed: str = ""  # the cache that was found to lack the object
+    accused: tuple[str, float] | None = None  # whom its one error so far would blame, and how much
+    timers: list[int] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
     ran: list[tuple[int, str]] = field(default_factory=list)  # attempts that may have run
 
@@ -240,18 +224,19 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self._random = settings, random.Random(seed)
         self._members, self._warm = dict[str, Member](), dict[str, int]()  # warm: by role, those long up
-        self._caches, self._parents, self._origin = Placement(), Placement(), ""
+        self._caches, self._parents, self._origin = tuple[str, ...](), tuple[str, ...](), ""
         self._tiers = {"cache": settings.caches, "parent": settings.parents, "origin": settings.caches}
         self._levels, self._names = {name: Levels() for name in settings.classes}, NameTable()
         self._purges, self._sending = Purges(settings.purge_done), list[int]()  # ends of own transfers
         self._times, self._done, self._slow = dict[str, float](), dict[str, tuple[int, float]](), 0.1
         self._pressure, self._inlet = Pressure(self._random, *PRESS), Pressure(self._random, *INLET)
         self._held, self._timers = dict[str, Held](), dict[int, Callable[[int], None]]()
-        self._tokens, self._retries, self._actions = 0, RETRY_SAVED, list[api.Action]()
+        self._tokens, self._retries = 0, RETRY_SAVED
+        self._faulty = 0.0  # share of errors lately that a second member gave to the same request
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Takes one event and returns what to do, in order."""
-        self._actions = []
+        self._actions, self._now = list[api.Action](), now
         match event:
             case api.Request():
                 self._arrive(now, event)
@@ -285,9 +270,8 @@
             if item.state is not api.State.GONE and role in self._tiers:
                 members[item.address] = known
         ready = sorted(a for a, m in members.items() if m.listed.state is api.State.READY)
-        by_role = {role: [a for a in ready if members[a].role == role] for role in self._tiers}
-        self._caches.set(by_role["cache"])
-        self._parents.set(by_role["parent"])
+        by_role = {role: tuple(a for a in ready if members[a].role == role) for role in self._tiers}
+        self._caches, self._parents = by_role["cache"], by_role["parent"]
         self._origin = next(iter(by_role["origin"]), "")
         self._warm = {role: sum(not members[a].listed.started for a in by_role[role]) for role in by_role}
         waits = {api.ListKind.STORED: 0, api.ListKind.FAILED: s.ask_within // 4}
@@ -313,18 +297,18 @@
         if request.size_kb:
             self._seen(spec, self._sized(request))
         self._retries = min(RETRY_SAVED, self._retries + RETRY_EARN * (1 - self._pressure.level))
-        held = self._held[request.id] = Held(request, spec, name, now + request.ttl, rank, left)
+        ttl = min(request.ttl, spec.deadline)  # longer than any client of the class waits proves nothing
+        held = self._held[request.id] = Held(request, spec, name, now + ttl, rank, left)
         # Rule 1: whatever else happens, the answer goes out before the client's time is up.
-        self._after(max(0, request.ttl - self.settings.tick), lambda then: self._give_up(held))
-        caches = (self._members[address] for address in self._caches.order(name))
+        self._after(max(0, ttl - self.settings.tick), lambda then: self._give_up(held), held)
+        caches = (self._members[address] for address in place(name, self._caches))
         self._pressure.learn(all(m.open + 1 > self._crowd(now, m) for m in caches if m.fit(now)))
         self._send(now, held, pressure=self._pressure)
 
     def _serves(self, now: int, request: api.Request, spec: api.ClassSettings) -> bool:
         """Departure: an own copy, fresh and younger than any purge, answers while the own link has room.
 
-        Guards caches' links and clients' connections. Purges count for good: an answer may cross one.
-        """
+        Guards caches' links and clients' connections. Purges count for good: an answer may cross one."""
         self._sending = [end for end in self._sending if end > now]
         copy, full = request.copy, len(self._sending) + 1 > self.settings.own_transfers
         if not copy or full or copy.age > min(now - self._purges.last(request), spec.fresh or now):
@@ -333,17 +317,17 @@
         self._actions.append(api.Serve(request.id))
         return True
 
-    def _sized(self, request: api.Request) -> float:
-        """The request's own sending time; 0 where its size is not told."""
+    def _sized(self, request: api.Request) -> float:  # its own sending time; 0 where its size is not told
         return request.size_kb * SECOND / (self.settings.pace_kb_per_s or math.inf)
 
-    def _after(self, delay: int, due: Callable[[int], None]) -> None:
+    def _after(self, delay: int, due: Callable[[int], None], held: Held | None = None) -> None:
         self._tokens += 1
         self._timers[self._tokens] = due
+        if held:  # its end drops them: what is over keeps no memory until they fire
+            held.timers.append(self._tokens)
         self._actions.append(api.SetTimer(delay, self._tokens))
 
-    def _work(self, spec: api.ClassSettings) -> float:
-        """The class's mean sending time; until something is known, its aim."""
+    def _work(self, spec: api.ClassSettings) -> float:  # the class's mean sending time, at first its aim
         return self._times.get(spec.name, float(spec.aim))
 
     def _seen(self, spec: api.ClassSettings, span: float) -> None:
@@ -355,16 +339,14 @@
         self._done[role] = now, total * max(0.0, 1 - (now - then) / PACE_MEMORY) + work
         return self._done[role][1] / PACE_MEMORY
 
-    def _own(self, held: Held) -> float:
-        """The request's own sending time, its class's where that is not told."""
+    def _own(self, held: Held) -> float:  # its own sending time, its class's where that is not told
         return self._sized(held.request) or self._work(held.spec)
 
     def _room(self, now: int, member: Member, work: float) -> bool:
         """Rule 4: whether a cold member's budget, this front's part of it, bears one more attempt.
 
-        Guards every window: the capacity is that of the window's start. The link is guessed from a weight or
-        the work that warm members get done. Hurts where members are much larger than they have shown.
-        """
+        Guards every window: the capacity is that of its start, the link a weight's or the work that warm
+        members get done. Hurts where members are much larger than they have shown."""
         tier, window = self._tiers[member.role], self.settings.fall_window
         if (share := self._share(now - window, member)) >= 1:
             return True
@@ -381,9 +363,7 @@
     def _crowd(self, now: int, member: Member) -> float:
         """The open-fill bound: of the link it has by now, as far as its answers have lately come in time.
 
-        One of many fronts has its share and room for chance: it sees few, in clumps, and a bare share would
-        send names away from members that are well. None for a front alone.
-        """
+        One of many fronts has its share and room for chance, since it sees few, in clumps."""
         (most, usual), fronts = CROWD[member.role], self._tiers[member.role].fronts
         link = self._share(now, member) * (member.listed.weight if self.settings.weights_told else usual)
         share = max(EASE_LEAST, EASE_MOST - EASE_LATE * member.late) * most * link / fronts
@@ -393,8 +373,7 @@
         """The first fit member below its bound; all skipped, the first that may be used at all.
 
         One late more often than its best peer sheds names by degrees (a hash's share). Guards against members
-        that grow slow but answer; all slow together shed nothing. Hurts where one's names are heavy.
-        """
+        that grow slow but answer; all slow together shed nothing. Hurts where one's names are heavy."""
         work = self._work(held.spec)
         usable = [a for a in order if self._room(now, self._members[a], work)]
         rest = [a for a in usable if a not in held.avoid]
@@ -411,19 +390,19 @@
             return True
         (first, where), spec, there = held.ran[0], held.spec, self._members[target].listed
         at = self._members[where].listed if where in self._members else api.Listed(where, api.State.GONE)
-        near = there.zone == at.zone and (spec.scope is api.Scope.ZONE or there.cell == at.cell)
-        same = near or spec.scope is api.Scope.ALL
-        return spec.effect is api.Effect.KEYED and same and now - first < spec.window
+        same = {api.Scope.ALL: True, api.Scope.ZONE: there.zone == at.zone}
+        near = same.get(spec.scope, (there.zone, there.cell) == (at.zone, at.cell))
+        return spec.effect is api.Effect.KEYED and near and now - first < spec.window
 
     def _send(self, now: int, held: Held, price: int = 0, pressure: Pressure | None = None) -> None:
         """Sends the next attempt, or gives up at once where none can be sent or it is too dear."""
         s, spec, request, left = self.settings, held.spec, held.request, held.deadline - now
-        cache = self._pick(now, self._caches.order(held.name), held)
+        cache = self._pick(now, place(held.name, self._caches), held)
         # Departure: a cache is first asked for what it has. Many fronts share a location, so a name new here
         # may well be kept there; a miss is known before a source is named, and silence is the cache's own.
         new = held.rank and not spec.fresh and held.missed != cache and held.sends + 1 < s.max_attempts
         looks = new and cache and self._share(now, self._members[cache]) >= 1
-        source = cache if looks else self._pick(now, self._parents.order(held.name), held) or self._origin
+        source = cache if looks else self._pick(now, place(held.name, self._parents), held) or self._origin
         if cache is None and s.direct and source:
             cache, source = source, self._origin or source
         spent = held.sends >= s.max_attempts or left <= s.tick or self._retries < price
@@ -443,7 +422,7 @@
         held.sends += 1
         self._actions.append(api.Fetch(request.id, cache, source, held.rank, left, age, s.can_join, renew))
         patience = self._patience(held)
-        self._after(patience, lambda then: self._look(then, held, attempt, patience))
+        self._after(patience, lambda then: self._look(then, held, attempt, patience), held)
 
     def _patience(self, held: Held) -> int:
         return int(PATIENCE * held.spec.aim + STRETCH * self._own(held))
@@ -452,8 +431,7 @@
         """An attempt is out for long: its cache, if silent all the while, is blamed, and left once suspended.
 
         Guards against members that say nothing (dead machines, cut links). One silence proves little, and
-        less the more good answers take as long. Hurts where long answers come in a row.
-        """
+        less the more good answers take as long. Hurts where long answers come in a row."""
         if held.begun or attempt.number not in held.out:
             return
         if 2 * patience <= now - attempt.sent < 3 * patience:
@@ -468,11 +446,11 @@
             held.ran.append((attempt.sent, attempt.cache))
             self._send(now, held, price=1)
         else:
-            self._after(patience, lambda then: self._look(then, held, attempt, patience))
+            self._after(patience, lambda then: self._look(then, held, attempt, patience), held)
 
     def _blame(self, now: int, held: Held, address: str, weight: float) -> None:
         held.avoid.add(address)
-        if address in self._members:
+        if weight and address in self._members:
             self._members[address].fails(now, weight)
 
     def _close(self, held: Held, attempt: Attempt) -> None:
@@ -493,7 +471,8 @@
             self._send(now, held, pressure=self._inlet)
         elif event.status is not api.Status.OK and not held.out:
             held.ran += [] if event.status in api.NEVER_RAN else [(attempt.sent, attempt.cache)]
-            self._send(now, held, price=1)  # out of the retry budget, so that trouble does not feed itself
+            # Trouble must not feed itself: a budget. A link's end pays once, a second word on an error not.
+            self._send(now, held, price=not (event.shared or held.accused))
 
     def _answered(self, now: int, held: Held, attempt: Attempt, event: api.Outcome) -> None:
         """Learns from an answer: health, sending times, work done, and the class's levels."""
@@ -505,7 +484,7 @@
                 member.works(now)
                 if not member.listed.started and member.role == role:
                     self._bear(now, role, work / max(1, self._warm[role]))
-        if hit and not size:
+        if hit and not (size or event.bare):
             self._seen(spec, float(event.took))
         self._slow += PACE_STEP * ((event.took > self._patience(held)) - self._slow)
         late = event.took > spec.aim + spec.aim_stretch * (self._sized(held.request) or spec.aim)
@@ -542,22 +521,42 @@
                 self._blame(now, held, cache, 0.2)
             case api.Status.TIMED_OUT | api.Status.ERROR | api.Status.NOT_CONNECTED | api.Status.BROKEN_OFF:
                 fill = heard and event.status in (api.Status.TIMED_OUT, api.Status.ERROR)  # it broke off late
-                self._blame(now, held, source if fill else cache, 0.25 if fill else 0.5)
+                at, weight = (source, 0.25) if fill else (cache, 0.5)
+                if event.status is api.Status.ERROR:
+                    self._accuse(held, at, weight, cache)
+                else:  # one link's end is one piece of evidence, however many attempts were on it
+                    self._blame(now, held, at, 0.0 if event.shared else weight)
+
+    def _accuse(self, held: Held, at: str, weight: float, cache: str) -> None:
+        """An error may be the request's own fault: the word of a second member decides, and ends it.
+
+        Guards good members, and the budget, against requests nobody can serve (unknown objects, parts out of
+        range); while most errors are such, a new name's is not asked about. Hurts where two bad ones meet."""
+        held.avoid |= {at} if cache == held.missed else {at, cache}
+        if held.accused or (held.left is None and self._random.random() < self._faulty):
+            self._faulty += PACE_STEP * (1 - self._faulty) * bool(held.accused)
+            held.accused, held.sends = None, self.settings.max_attempts
+        else:
+            held.accused = at, weight
 
     def _give_up(self, held: Held) -> None:
         """The final answer, at once; a refusal where trying again is harmless."""
         if self._held.get(held.request.id) is not held or held.begun:
             return
         anywhere = held.spec.effect is api.Effect.KEYED and held.spec.scope is api.Scope.ALL
-        if held.spec.effect is api.Effect.SAFE or anywhere or not (held.ran or held.out):
-            advice = int(ADVICE * (0.5 + self._random.random())) if self.settings.retry_after else 0
-            self._actions.append(api.Refuse(held.request.id, min(self.settings.max_retry_after, advice)))
-        else:
-            self._actions.append(api.Fail(held.request.id))
+        harmless = held.spec.effect is api.Effect.SAFE or anywhere or not (held.ran or held.out)
+        advice = int(ADVICE * (0.5 + self._random.random())) if self.settings.retry_after else 0
+        refusal = api.Refuse(held.request.id, min(self.settings.max_retry_after, advice))
+        self._actions.append(refusal if harmless else api.Fail(held.request.id))
         self._forget(held.request.id)
 
     def _forget(self, request_id: str) -> None:
         if held := self._held.pop(request_id, None):
+            if held.accused:  # no second member failed it too
+                self._blame(self._now, held, held.accused[0], held.accused[1] * (1 - self._faulty))
+                self._faulty -= PACE_STEP * self._faulty
+            for token in held.timers:
+                self._timers.pop(token, None)
             for attempt in list(held.out.values()):
                 self._actions += [api.Cancel(request_id, attempt.number)] * self.settings.may_cancel
                 self._close(held, attempt)
--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -184,6 +184,7 @@
     sockets: int
     clients: int  # open connections of clients; at the cap the one idle longest makes room
     links: int  # to one member: as many as carry one request of each client's connection
+    all_links: int  # those that are about to end among them, so that descriptors are left for clients
     buffers: int  # in the pool, each of `buffer_size`
     copies: int  # of these, for copies of the front's own
     buffer_size: int
@@ -226,9 +227,10 @@
     flow: float  # bytes a second of one transfer on the front's own link; 0: it has none
 
 
-PROGRAM = 24  # MB that the interpreter and all modules take before the first connection (22 measured)
-TABLES = 6  # MB for the module's names and the requests that are held, at the busiest rate seen
-PLACE = 64 * 1024  # bytes for a connection: what its thread touches of its stack, its objects and its request
+PROGRAM = 22  # MB that the interpreter and all modules take before the first connection, as measured
+TABLES = 5  # MB for the module's names and the requests that are held, at the busiest rate seen
+PLACE = 48 * 1024  # bytes for a connection: what its thread touches of its stack, its objects and its request
+LEAST_SPARE = 4  # MB: with less there are no places worth the name; the front then runs close to its limit
 LEAST_BODIES = 64  # buffers without which nothing can be served
 
 
@@ -244,12 +246,13 @@
     idle = links.within("conn-idle", 0, 3_600 * SECOND, 30 * SECOND)
     streams = int(links.within("max-streams", 1, 1 << 16, 32))
     size = BUFFER_SIZE if memory >= 128 else BUFFER_SIZE // 2 if memory >= 48 else BUFFER_SIZE // 4
-    clients = min(4_096, int(sockets) * 15 // 32)
+    spare = max(LEAST_SPARE, int(memory) * 9 // 10 - PROGRAM - TABLES) * 1_048_576
+    clients = min(4_096, int(sockets) * 15 // 32, spare // 2 // (PLACE + size))
     # A bound of 4 left calls without a link (never sent) whenever a member's answers took long at full load.
     most_links = max(3, min(int(sockets) // 16, -(-clients // streams) + 2))
-    readers = clients + int(sockets) // 4
-    left = (int(memory) * 9 // 10 - PROGRAM - TABLES) * 1_048_576 - readers * (PLACE + size)
-    bodies = max(LEAST_BODIES, min(8_192, left * 4 // 5 // size))
+    all_links = int(sockets) * 3 // 8
+    readers = clients + min(all_links, clients)
+    bodies = max(LEAST_BODIES, min(8_192, (spare - readers * (PLACE + size)) * 4 // 5 // size))
     return Bounds(
         memory_mb=int(memory),
         sockets=int(sockets),
@@ -258,6 +261,7 @@
         copies=bodies * 2 // 3,
         buffer_size=size,
         links=most_links,
+        all_links=all_links,
         streams=streams,
         connect=int(links.within("connect-timeout", 1, 60 * SECOND, 400 * MS)),
         idle=int(idle) or 30 * SECOND,
--- a/olivepost/interface.py
+++ b/olivepost/interface.py
@@ -191,7 +191,8 @@
 class Outcome:
     """An attempt has ended; `final` says that the request is over.
 
-    `shared`: by the end of a connection that another attempt's outcome has told of already.
+    `shared`: by the end of a connection that another attempt's outcome has told of already. `bare`: with
+    word that the client's copy holds, which takes no sending time.
     """
 
     id: str
@@ -201,6 +202,7 @@
     final: bool = False
     note: Note = Note.NOTHING
     shared: bool = False
+    bare: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -23,7 +23,7 @@
 
 LATE_TIMER = 5 * MS  # a timer that fires later than this is counted
 MOST_DELAYS = 100_000
-VOUCHED = 3 * SECOND  # after the coordinator was last heard: less than its events take to count as told
+VOUCHED = 2 * SECOND  # after the coordinator was last heard: less than its events take to count as told
 
 
 class Stop:
@@ -209,9 +209,9 @@
         if answer is not None:
             self._close(held, answer)
         took = max(0, event.at - call.sent)
-        final = answer is not None
+        final, bare = answer is not None, answer is not None and answer.verdict is Verdict.CURRENT
         outcome = api.Outcome(
-            call.exchange.id, call.number, event.status, took, final, event.note, event.shared
+            call.exchange.id, call.number, event.status, took, final, event.note, event.shared, bare
         )
         try:
             actions = self._router.handle(now, outcome)
--- a/olivepost/net/registry.py
+++ b/olivepost/net/registry.py
@@ -26,6 +26,9 @@
 ANSWER_FIRST, ANSWER_MOST = 600 * MS, 4 * SECOND
 CONNECT_WITHIN = 500 * MS
 RETRY_FIRST, RETRY_MOST = 0.03, 0.25  # seconds
+# So many answers in a row with a lower number than is had: the coordinator counts anew. One that only lags
+# behind says so too, and taking its old list for news would undo drains and purges.
+LOWER_MOST = 3
 HEAD_SIZE, BODY_SIZE = 8_192, 16_777_216
 
 
@@ -90,6 +93,7 @@
         self._last = 0
         self._whole = False  # whether a whole list has been seen
         self._resync = False
+        self._lower = 0
         self._lock = threading.Lock()
         self._follower: Follower | None = None
 
@@ -131,7 +135,7 @@
             if follower is not self._follower:
                 return
             self._apply(data)
-            if not self._resync:
+            if not (self._resync or self._lower):
                 self._post(Heard())
 
     def _apply(self, data: object) -> None:
@@ -150,12 +154,13 @@
         updates = [update for update in sorted(updates, key=lambda it: it.index) if update.index > self._last]
         first = updates[0] if updates else None
         gap = first is not None and first.index != self._last + 1 and not self._is_whole(first)
-        if (gap or index < self._last) and not self._resync:
+        self._lower = self._lower + 1 if index < self._last else 0
+        if (gap or self._lower >= LOWER_MOST) and not self._resync:
             # Events are missing, or the coordinator counts anew: all of them once more, from the first.
             self.log.event("list_gap", had=self._last, told=index)
             self._resync = True
-            if index < self._last:
-                self._last = 0
+            if self._lower:
+                self._last = self._lower = 0
             return
         self._resync = False
         for update in updates:
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -147,6 +147,7 @@
         self._probed = 0  # when `alive` was asked since then; 0: not
         self._sock: socket.socket | None = None
         self.over = False
+        self.closed = False  # its descriptor is free
         threading.Thread(target=self._run, name=f"link-{place.id}", daemon=True).start()
 
     # What the engine calls; none of it blocks.
@@ -219,6 +220,7 @@
             log.count("connect_failed")
             log.event("connect_failed", member=self._place.id, why=fault.strerror or str(fault))
             self._end()
+            self.closed = True
             return
         log.count("links_opened")
         self._sock = sock
@@ -236,6 +238,7 @@
             if reader.ident is not None:
                 reader.join()
             sock.close()
+            self.closed = True
 
     def _write(self, sock: socket.socket) -> None:
         """Writes what is ordered, until the link ends or has been idle nearly as long as its peer allows."""
@@ -445,6 +448,7 @@
     def __init__(self, tools: Tools) -> None:
         self._tools = tools
         self._servers: dict[str, Server] = {}
+        self._links: list[Link] = []  # all that still hold a descriptor, also of members that have gone
 
     def update(self, places: list[Place], whole: bool) -> None:
         """Takes the list: links belong to one process of one member, wherever its address was used before."""
@@ -483,7 +487,8 @@
         able.sort(key=lambda link: (not link.up, link.open))
         if any(link.offer(call) for link in able):
             return
-        if len(server.links) >= self._tools.bounds.links:
+        self._links = [link for link in self._links if not link.closed]
+        if len(server.links) >= self._tools.bounds.links or len(self._links) >= self._tools.bounds.all_links:
             self._tools.log.count("links_full")
             self._tools.post(Ended(call, api.Status.NEVER_SENT, call.sent))
             return
@@ -494,6 +499,7 @@
             self._tools.post(Ended(call, api.Status.NOT_CONNECTED, call.sent))
             return
         server.links.append(link)
+        self._links.append(link)
         link.offer(call)
 
     def close(self) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -77,6 +77,7 @@
         return plain(data, digest_size=digest_size)
 
     monkeypatch.setattr(choice, "blake2b", counted)
+    choice.place.cache_clear()
     others = tuple(cache(f"e{i}:1", zone=f"zone{i % 40}") for i in range(elsewhere))
     front = Front(make_settings(), (*FLEET, *others))
     front.fill("1", "x")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -751,6 +751,26 @@
         other.close()
 
 
+def test_a_coordinator_that_lags_behind_is_not_taken_for_a_new_one() -> None:
+    with rig() as made:
+        made.coordinator.add(endpoints={"version": 2, "full": False, "servers": [
+            {**made.entries[0], "state": "terminating"}]})
+        assert made.until(lambda: made.front.registry._last == 2)
+        lagging = Coordinator()
+        lagging.events = made.coordinator.events[:1]
+        host, port = lagging.address.split(":")
+        made.front.registry.follow((host, int(port)))
+        assert lagging.wait_for_poll(2) and lagging.follows[:2] == [2, 2]  # it is waited for
+        assert made.until(lambda: made.front.registry._lower >= 1)
+        lagging.events = list(made.coordinator.events)
+        lagging.add(evict={"shard": 2, "unix_ms": time.time_ns() // 1_000_000})
+        purges = made.front.engine._router._purges
+        assert made.until(lambda: ("group", 2) in purges._times)
+        assert made.front.engine._router._members["a"].listed.state is api.State.DRAINING
+        assert 0 not in lagging.follows
+        lagging.close()
+
+
 # Copies of the front's own
 
 
