--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -201,13 +201,13 @@
     slow: int = 10 * SECOND  # for all of an answer, where its request's patience is longer still
     # A member writes an answer in one go once it has it: a pause of this length within one, or one that
     # takes longer than this in all, is a link that has stopped or trickles. Hurts where members stand still.
-    answer_pause: int = 400 * MS
+    answer_pause: int = 200 * MS
     answer_span: int = 2 * SECOND
     # A link with calls that wait and no byte for so long is asked whether it is alive, and left if it does
     # not say so in time: the word costs next to nothing, and members that stand still do so for less.
-    link_quiet: int = 400 * MS
-    alive_within: int = 400 * MS
-    link_look: int = 100 * MS  # how often a silent link is looked at
+    link_quiet: int = 200 * MS
+    alive_within: int = 200 * MS
+    link_look: int = 50 * MS  # how often a silent link is looked at
     writers: int = 1  # threads that write answers: none waits, and more only wake each other at full load
     log_lines: int = 10_000
     backlog: int = 512
