What the machine has accepted is answered at the end; requests that wait to be read keep places

Faulty lines: clients.py close_if_idle and evict looked at what is parsed, not at what waits in the socket; stop() shut the listener with connections in its queue, which resets them. Now a connection with unread bytes is not idle, the listener is emptied before it closes, and clients come for 0.7 s.

--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -29,8 +29,11 @@
 GROUP = re.compile(r"[0-9]{1,3}", re.ASCII)
 STRONG_TAG = re.compile(r'"([!#-+\--<>-~]{1,128})"', re.ASCII)  # that a field on the members' wire can hold
 LINGER = 1 * SECOND  # for the client's end after ours, so that a reset does not overtake the answer
+STOP_WITHIN = 1.0  # seconds
 LINGER_BYTES = 4_194_304  # that are read and dropped meanwhile
 LIMITS_EVERY = 0.1  # seconds between two looks at the limits
+ACCEPT_LOOK = 50 * MS  # how long the listener is waited for before the front's end is looked for
+GRACE = 200 * MS  # for a request that has come in time and is not read yet
 FRESH = 50 * MS  # so long the request of a new connection may just be on its way
 REFUSED, FAILED = 503, 502
 
@@ -51,7 +54,8 @@
         self._ended = threading.Event()
         self._lock = threading.Lock()
         self._open: set[Connection] = set()
-        self._listener: socket.socket | None = None
+        self._acceptor: threading.Thread | None = None
+        self._stopping = False
         self.peak = 0
 
     @property
@@ -65,12 +69,13 @@
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind(address)
+            sockets.wait_for(listener, ACCEPT_LOOK)
             listener.listen(self.bounds.backlog)
         except OSError:
             listener.close()
             raise
-        self._listener = listener
-        threading.Thread(target=self._accept, args=(listener,), name="accept", daemon=True).start()
+        self._acceptor = threading.Thread(target=self._accept, args=(listener,), name="accept", daemon=True)
+        self._acceptor.start()
         threading.Thread(target=self._watch, name="limits", daemon=True).start()
         bound: Address = listener.getsockname()
         return bound
@@ -80,9 +85,11 @@
         while True:
             try:
                 sock, _ = listener.accept()
+            except BlockingIOError:
+                if self._stopping:  # nothing waits any more: what the machine accepted has been taken
+                    break
+                continue
             except OSError as fault:
-                if self._listener is None:
-                    return
                 self.log.count("accept_failed")
                 if fault.errno not in (errno.ECONNABORTED, errno.EINTR):
                     self.log.event("accept_failed", why=fault.strerror)
@@ -92,6 +99,7 @@
                 self._start(sock)
             else:
                 sock.close()
+        listener.close()
 
     def _make_room(self) -> bool:
         """At the cap the connection goes that has been idle longest; where all are busy, one is waited for.
@@ -101,15 +109,17 @@
         front than it has places for.
         """
         self.log.count("clients_full")
-        while self._listener is not None:
+        while not self._ended.is_set():
             now = self.clock.now()
             with self._lock:
                 mute = [connection for connection in self._open if not connection.asked]
                 idle = [connection for connection in self._open if connection.idle]
-            stale = [connection for connection in mute if now - connection.since > FRESH]
-            if go := stale or (idle if len(mute) < self.bounds.clients // 4 else []):
+            go = [connection for connection in mute if now - connection.since > FRESH]
+            go = go or (idle if len(mute) < self.bounds.clients // 4 else [])
+            go.sort(key=lambda connection: connection.since)
+            if victim := next((connection for connection in go if connection.quiet), None):
                 self.log.count("clients_evicted")
-                min(go, key=lambda connection: connection.since).evict()
+                victim.evict()
             if self._room.acquire(timeout=0.02):
                 return True
         return False
@@ -154,11 +164,10 @@
             connection.close_if_idle()
 
     def stop(self) -> None:
-        """Ends the listener."""
-        listener, self._listener = self._listener, None
-        if listener is not None:
-            sockets.hang_up(listener)
-            listener.close()
+        """Ends the listener once all that the machine has accepted for it is taken."""
+        self._stopping = True
+        if self._acceptor is not None:
+            self._acceptor.join(STOP_WITHIN)
 
     def end(self) -> None:
         """Ends the watch over limits, last of all."""
@@ -215,6 +224,7 @@
         self._closes = False  # what the answer in hand says of it
         self._ending = False  # our last answer has gone out
         self._gone = False
+        self._in_hand = False  # bytes have been read that are not parsed yet
         self._dropped = 0  # bytes that came after our end
         self.asked = False  # a request has come whole
         self.since = side.clock.now()  # when it last had nothing open
@@ -226,6 +236,11 @@
         """Whether it has asked before, and nothing is open."""
         return self.asked and self._exchange is None
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing has come that waits to be read or parsed: on a busy front a request may."""
+        return not self._in_hand and sockets.quiet(self._sock)
+
     def evict(self) -> None:
         """Ends it at once, as its limit would have."""
         self.limit = 0
@@ -239,7 +254,9 @@
         try:
             if self._exchange is not None or self._ending:
                 return
-            if self._parser.idle:
+            if self._parser.idle and not self.quiet:
+                self.limit = self._side.clock.now() + GRACE  # its reader is late, not the client
+            elif self._parser.idle:
                 self._finish_sending()
             else:
                 self._keeps = False
@@ -271,8 +288,10 @@
 
     def _read(self, view: memoryview) -> None:
         while count := self._sock.recv_into(view):
+            self._in_hand = True
             at = self._side.clock.now()
             with self._lock:
+                self._in_hand = False
                 if self._ending:  # bytes after our end are of no use; the client's own end is waited for
                     self._dropped += count
                     if self._dropped > LINGER_BYTES:
@@ -429,7 +448,8 @@
 
     def close_if_idle(self) -> None:
         with self._lock:
-            if self._exchange is None and self._parser.idle and not self._ending and not self._gone:
+            idle = self._exchange is None and self._parser.idle and not self._ending and not self._gone
+            if idle and self.quiet:  # a request that waits to be read gets its answer, which ends it
                 self._finish_sending()
 
 
--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -26,7 +26,7 @@
 from olivepost.net.servers import Servers, Tools
 
 FIGURES_EVERY = 10 * SECOND
-TERM_ACCEPTS = 650 * MS  # after SIGTERM for which clients still come
+TERM_ACCEPTS = 700 * MS  # after SIGTERM for which clients still come, and a busy front has to read it
 TERM_LINGERS = 1.0  # seconds that clients have to end their connections after their last answer
 # Seconds that a thread may keep the interpreter while others wait. A tenth of it made a full core change
 # threads all the time, a fifth of its work; hurts where a thread computes for long, which none here does.
--- a/olivepost/net/sockets.py
+++ b/olivepost/net/sockets.py
@@ -35,6 +35,14 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _span(span))
 
 
+def quiet(sock: socket.socket) -> bool:
+    """Whether nothing has come that is not read yet."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:  # nothing there, or the connection has ended
+        return True
+
+
 def connect(address: Address, within: int, receive: int, send: int) -> socket.socket:
     """A connection made in time, or an OSError."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,7 +12,7 @@
 from examples.toy_server import Command, Coordinator, Member, body_of, entry, serve_all, tag_of
 from olivepost import interface as api
 from olivepost.net import sockets
-from olivepost.net.clients import Connection
+from olivepost.net.clients import Clients, Connection
 from olivepost.net.engine import VOUCHED
 from tests.rig import NAME, WITHIN, Client, Rig, rig
 
@@ -840,6 +840,48 @@
         assert not ending.is_alive() and made.front.clients.open == 0
 
 
+def test_what_the_machine_has_accepted_is_answered_at_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A busy front has requests that wait to be read, and connections that wait to be accepted."""
+    gate, start = threading.Event(), Clients._start
+
+    def late(self: Clients, sock: socket.socket) -> None:
+        gate.wait(WITHIN)
+        start(self, sock)
+
+    with rig() as made, made.client() as idle:
+        assert idle.ask()[0] == 200
+        monkeypatch.setattr(Clients, "_start", late)
+        waiting = [made.client() for _ in range(5)]
+        for client in waiting:
+            client.send(Client.request(patience=15_000))
+        made.front.clients.drain()
+        stopping = threading.Thread(target=made.front.clients.stop)
+        stopping.start()
+        gate.set()
+        for client in waiting:
+            status, headers, _ = client.read()
+            assert (status, headers["connection"]) == (200, "close") and client.closed()
+            client.sock.close()
+        stopping.join(WITHIN)
+        with pytest.raises(OSError):
+            made.client()
+
+
+def test_a_request_that_waits_to_be_read_keeps_its_connection_at_the_end() -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+        (connection,) = made.front.clients._open
+        with connection._lock:  # its reader is held up
+            client.send(Client.request(patience=15_000))
+            assert made.until(lambda: not connection.quiet)
+            made.front.clients.drain()
+            closing = threading.Thread(target=made.front.clients.close_idle)
+            closing.start()
+        closing.join(WITHIN)
+        status, headers, _ = client.read()
+        assert (status, headers["connection"]) == (200, "close")
+
+
 def test_a_front_starts_again_at_once_on_the_same_address() -> None:
     with rig() as made:
         client = made.client()
