Buffers to read into apart from bodies, memory shared out anew, quicker starts of threads

A profile, waits left out: engine 85 % (the module 41), threads that are started 2 to 4 %, readers 8, the writer 4. Now connections start by the low-level call, which does not wait for the new thread; looks for cycles come each 20,000 objects. Found on the way: readers' and bodies' buffers in one pool, so that clients who hold bodies could make the front deaf; places took all of a small memory (64 MB, 1,024 descriptors: 64 buffers for bodies); a wait within 1 us of a whole second was for ever.

--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -185,7 +185,8 @@
     clients: int  # open connections of clients; at the cap the one idle longest makes room
     links: int  # to one member: as many as carry one request of each client's connection
     all_links: int  # those that are about to end among them, so that descriptors are left for clients
-    buffers: int  # in the pool, each of `buffer_size`
+    readers: int  # buffers to read into, one for each connection and link
+    bodies: int  # buffers for bodies; apart, so that peers who hold bodies can't make the front deaf
     copies: int  # of these, for copies of the front's own
     buffer_size: int
     head_size: int = 8_192  # of a request's line and headers
@@ -227,7 +228,7 @@
     flow: float  # bytes a second of one transfer on the front's own link; 0: it has none
 
 
-PROGRAM = 22  # MB that the interpreter and all modules take before the first connection, as measured
+PROGRAM = 15  # MB of its own that the program takes before the first connection: 13 as the platform counts
 TABLES = 5  # MB for the module's names and the requests that are held, at the busiest rate seen
 PLACE = 48 * 1024  # bytes for a connection: what its thread touches of its stack, its objects and its request
 LEAST_SPARE = 4  # MB: with less there are no places worth the name; the front then runs close to its limit
@@ -238,8 +239,8 @@
     """The front's own limits, as its memory and descriptors allow.
 
     Clients have nearly half of the descriptors: the usual ones hold a third, the rest is for those that
-    should not be there. What the program and its threads leave of the memory is for bodies, in buffers that
-    are smaller where memory is short, since each connection holds one.
+    should not be there. Of the memory that the program leaves, half at most is for connections and links and
+    the rest for bodies, in buffers that are smaller where memory is short, since each connection holds one.
     """
     told, links = top.inner("limits"), settings.inner("limits")
     memory, sockets = told.within("memory_mb", 16, 1 << 20, 192), told.within("sockets", 64, 1 << 20, 1024)
@@ -247,17 +248,19 @@
     streams = int(links.within("max-streams", 1, 1 << 16, 32))
     size = BUFFER_SIZE if memory >= 128 else BUFFER_SIZE // 2 if memory >= 48 else BUFFER_SIZE // 4
     spare = max(LEAST_SPARE, int(memory) * 9 // 10 - PROGRAM - TABLES) * 1_048_576
-    clients = min(4_096, int(sockets) * 15 // 32, spare // 2 // (PLACE + size))
+    places = spare // 2 // (PLACE + size)
+    clients = min(4_096, int(sockets) * 15 // 32, places * 3 // 5)
     # A bound of 4 left calls without a link (never sent) whenever a member's answers took long at full load.
     most_links = max(3, min(int(sockets) // 16, -(-clients // streams) + 2))
-    all_links = int(sockets) * 3 // 8
-    readers = clients + min(all_links, clients)
+    all_links = min(int(sockets) * 3 // 8, places - clients)
+    readers = clients + all_links
     bodies = max(LEAST_BODIES, min(8_192, (spare - readers * (PLACE + size)) * 4 // 5 // size))
     return Bounds(
         memory_mb=int(memory),
         sockets=int(sockets),
         clients=clients,
-        buffers=readers + bodies,
+        readers=readers,
+        bodies=bodies,
         copies=bodies * 2 // 3,
         buffer_size=size,
         links=most_links,
--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import _thread
 import errno
 import queue
 import re
@@ -42,11 +43,11 @@
     """Accepts connections and keeps count of them."""
 
     def __init__(
-        self, bounds: Bounds, classes: Collection[str], pool: Pool, clock: Clock, log: Log,
+        self, bounds: Bounds, classes: Collection[str], rooms: Pool, clock: Clock, log: Log,
         post: Callable[[Arrived | Left], None],
     ) -> None:
-        self.bounds, self.classes, self.pool, self.clock, self.log, self.post = (
-            bounds, classes, pool, clock, log, post,
+        self.bounds, self.classes, self.rooms, self.clock, self.log, self.post = (
+            bounds, classes, rooms, clock, log, post,
         )
         self.draining = False
         self.writers = Writers(bounds.writers, log)
@@ -132,7 +133,10 @@
                 past = [connection for connection in self._open if 0 < connection.limit < now]
             for connection in past:
                 self.log.count("clients_past_limit")
-                connection.expire()
+                try:
+                    connection.expire()
+                except Exception:  # one connection's fault must not leave the others without limits
+                    self.log.fault("connection_fault")
 
     def _start(self, sock: socket.socket) -> None:
         connection = Connection(self, sock)
@@ -140,7 +144,9 @@
             self._open.add(connection)
             self.peak = max(self.peak, len(self._open))
         try:
-            threading.Thread(target=connection.run, name="client", daemon=True).start()
+            # Not by threading.Thread, whose start waits until the new thread has run: with a full core that
+            # is a hand-over for each connection, and the accept thread takes no other meanwhile.
+            _thread.start_new_thread(connection.run, ())
         except RuntimeError:
             self.log.count("threads_short")
             sock.close()
@@ -268,7 +274,7 @@
 
     def run(self) -> None:
         side = self._side
-        room = side.pool.take(1, 1.0)
+        room = side.rooms.take(1, 1.0)
         try:
             if room is None:
                 side.log.count("pool_empty")
@@ -283,7 +289,7 @@
         finally:
             self._end()
             if room:
-                side.pool.give_back(room)
+                side.rooms.give_back(room)
             side.gone(self)
 
     def _read(self, view: memoryview) -> None:
--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -31,6 +31,9 @@
 # Seconds that a thread may keep the interpreter while others wait. A tenth of it made a full core change
 # threads all the time, a fifth of its work; hurts where a thread computes for long, which none here does.
 SWITCH = 0.005
+# Objects made, more than freed, between two looks for cycles: requests make hardly any, and the default of
+# 700 looks after every few dozen of them. Hurts where cycles hold much memory: none here does.
+GC_EVERY = 20_000
 
 
 class Signals:
@@ -69,14 +72,15 @@
         self._signals, self._read_again = signals or _none, read_again or (lambda: config)
         self.clock = Clock()
         self.log = Log(self.clock, config.name, bounds.log_lines, log_to)
-        self.pool = Pool(bounds.buffers, bounds.buffer_size)
+        self.pool = Pool(bounds.bodies, bounds.buffer_size)
+        self.rooms = Pool(bounds.readers, bounds.buffer_size)  # to read into
         self.copies = Copies(bounds.copies)
         router = Router(config.settings, config.seed)
         self.engine = Engine(router, self.clock, self.log, self.copies, config.flow)
-        self.servers = Servers(Tools(bounds, self.pool, self.clock, self.log, self.engine.post))
+        self.servers = Servers(Tools(bounds, self.pool, self.rooms, self.clock, self.log, self.engine.post))
         self.engine.join_servers(self.servers)
         self.clients = Clients(
-            bounds, config.settings.classes, self.pool, self.clock, self.log, self.engine.post
+            bounds, config.settings.classes, self.rooms, self.clock, self.log, self.engine.post
         )
         self.registry = Registry(config.coordinator, self.clock, self.log, self.engine.post, config.seed)
 
@@ -154,8 +158,8 @@
             events=count,
             engine_delay_ms={name: delays[at] / MS for name, at in shares.items()} if count else {},
             cpu_s=[round(span, 1) for span in os.times()[:2]],  # the front's own code, the system's
-            threads=threading.active_count(), descriptors=_descriptors(), **_memory(),
-            buffers=self.pool.out, most_buffers=self.pool.peak,
+            descriptors=_descriptors(), **_process(),
+            buffers=self.pool.out, most_buffers=self.pool.peak, readers=self.rooms.out,
             copies=len(self.copies), broken=invariants.broken(),
             counts=self.log.totals(),
         )
@@ -175,9 +179,9 @@
         return -1
 
 
-def _memory() -> dict[str, int]:
-    """Memory held now and at most so far, in KB; nothing where the system does not tell."""
-    names = {"VmRSS:": "memory_kb", "VmHWM:": "most_memory_kb"}
+def _process() -> dict[str, int]:
+    """Threads, memory held now and at most so far, in KB; nothing where the system does not tell."""
+    names = {"VmRSS:": "memory_kb", "VmHWM:": "most_memory_kb", "Threads:": "threads"}
     try:
         lines = [line.split() for line in Path("/proc/self/status").read_text().splitlines()]
     except OSError:
@@ -197,6 +201,7 @@
         print(f"olivepost: can't listen on {host}:{port}: {fault.strerror}", file=sys.stderr)
         return 1
     gc.collect()
+    gc.set_threshold(GC_EVERY, 20, 20)
     gc.freeze()
     front.run()
     return 0
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -127,7 +127,8 @@
     """What every link uses."""
 
     bounds: Bounds
-    pool: Pool
+    pool: Pool  # for bodies
+    rooms: Pool  # to read into
     clock: Clock
     log: Log
     post: Callable[[Ended | Unsent], None]
@@ -281,7 +282,7 @@
     # The thread that reads.
 
     def _read(self, sock: socket.socket) -> None:
-        pool, log, clock = self._tools.pool, self._tools.log, self._tools.clock
+        pool, log, clock = self._tools.rooms, self._tools.log, self._tools.clock
         room = pool.take(1, ROOM_WAIT)
         try:
             if room is None:
--- a/olivepost/net/sockets.py
+++ b/olivepost/net/sockets.py
@@ -27,7 +27,7 @@
 
 def _span(span: int) -> bytes:
     """A wait as the kernel has it; 0 means for ever."""
-    return struct.pack("ll", span // SECOND, -(-(span % SECOND) // 1_000) % 1_000_000)
+    return struct.pack("ll", *divmod(-(-span // 1_000), 1_000_000))
 
 
 def wait_for(sock: socket.socket, span: int) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -172,3 +172,4 @@
     finally:
         made.close()
     assert made.until(lambda: made.front.pool.out == 0), "a buffer is left out"
+    assert made.until(lambda: made.front.rooms.out == 0), "a reader's buffer is left out"
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -19,8 +19,8 @@
     assert config.settings.classes["image"].effect is api.Effect.SAFE
     bounds = config.bounds
     assert bounds.streams == 32 and bounds.connect == 400_000_000 and bounds.idle == 30_000_000_000
-    assert bounds.clients >= 1024 // 3 and bounds.buffers * bounds.buffer_size <= 192 * 1_048_576 // 2
-    assert bounds.copies < bounds.buffers and config.settings.own_transfers == 0 == config.flow
+    assert bounds.clients >= 1024 // 3 and bounds.bodies * bounds.buffer_size <= 192 * 1_048_576 // 2
+    assert bounds.copies < bounds.bodies and config.settings.own_transfers == 0 == config.flow
     assert bounds.links * bounds.streams >= bounds.clients
 
 
@@ -43,6 +43,16 @@
     assert (config.name, config.listen) == ("n3", ("127.0.0.9", 81))
 
 
+@pytest.mark.parametrize(("memory", "sockets"), [(32, 256), (64, 256), (192, 1024), (2048, 4096)])
+def test_small_limits_are_valid_and_the_front_fits_into_them(memory: int, sockets: int) -> None:
+    bounds = read_config(toy_config(limits={"memory_mb": memory, "sockets": sockets}), {}).bounds
+    held = (bounds.readers + bounds.bodies) * bounds.buffer_size
+    threads = (bounds.clients + 2 * bounds.all_links) * 24 * 1024  # what is touched of a thread's stack
+    assert 22 * 2**20 + held + threads < memory * 2**20
+    assert bounds.clients + bounds.all_links + 16 < sockets and bounds.clients >= 32
+    assert bounds.copies < bounds.bodies and bounds.bodies * bounds.buffer_size >= 240_000
+
+
 def test_limits_and_unknown_keys() -> None:
     config = read_config(toy_config(limits={"sockets": 256, "of_tomorrow": 1}, of_tomorrow=[]), {})
     assert config.bounds.sockets == 256 and config.bounds.memory_mb == 192
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -228,6 +228,20 @@
         sock.close()
 
 
+def test_bodies_that_clients_hold_do_not_make_the_front_deaf(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With all buffers for bodies held, requests still get their refusal, and no member is blamed."""
+    with rig() as made, made.client() as client:
+        taken = made.front.pool.take(made.front.config.bounds.bodies)
+        assert taken is not None
+        assert client.ask(patience=15_000)[0] == 503 and made.counted("pool_empty") >= 1
+        assert not any(member.doubt for member in made.front.engine._router._members.values())
+        with made.client() as other:
+            other.send(b"GET /-/healthy HTTP/1.1\r\n\r\n")
+            assert other.read()[0] == 200
+        made.front.pool.give_back(taken)
+        assert client.ask()[0] == 200
+
+
 def test_an_id_in_use_fails_and_the_first_is_unharmed() -> None:
     gate = threading.Event()
 
@@ -691,6 +705,7 @@
 
 def test_the_last_list_holds_while_the_coordinator_is_gone() -> None:
     with rig() as made, made.client() as client:
+        assert made.coordinator.wait_for_poll(1)
         made.coordinator.close()
         assert made.until(lambda: made.counted("polls_failed") >= 2)
         assert client.ask()[0] == 200
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,6 +1,7 @@
 """Buffers, invariants, exchange, log, engine faults: the front's smaller parts."""
 
 import os
+import struct
 import subprocess
 import sys
 import threading
@@ -15,6 +16,7 @@
 from olivepost.net.copies import Copies, answer_of
 from olivepost.net.exchange import Answer, Exchange, Verdict
 from olivepost.net.log import Log
+from olivepost.net.sockets import _span
 
 
 def test_buffers_are_used_again() -> None:
@@ -101,6 +103,11 @@
     assert got == [taken]
 
 
+def test_a_wait_is_never_rounded_to_for_ever() -> None:
+    for span, told in ((1, (0, 1)), (999_999_999, (1, 0)), (1_600_000_001, (1, 600_001)), (0, (0, 0))):
+        assert struct.unpack("ll", _span(span)) == told
+
+
 def test_a_buffer_goes_back_once() -> None:
     pool = Pool(2, 10)
     taken = pool.take(1)
