--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -626,6 +626,12 @@
         assert made.counted("links_broken") == 0
 
 
+def test_all_links_together_are_bounded() -> None:
+    with rig(bounds={"all_links": 1}) as made, made.client() as client:
+        assert {client.ask(piece=piece, patience=15_000)[0] for piece in range(12)} <= {200, 503}
+        assert made.counted("links_opened") == 1 and made.counted("links_full") >= 1
+
+
 def test_a_silent_member_holds_up_no_other() -> None:
     def reply(member: Member, command: Command) -> None:
         if member.id == "b":
