--- a/olivepost/net/buffers.py
+++ b/olivepost/net/buffers.py
@@ -35,8 +35,9 @@
                 self._waiting -= 1
                 if not enough:
                     return None
-            taken = self._free[-count:] if count else []
-            del self._free[len(self._free) - count :]
+            at = len(self._free) - count
+            taken = self._free[at:]
+            del self._free[at:]
             self._out.update(map(id, taken))
             self.peak = max(self.peak, len(self._out))
             return taken
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -68,6 +68,12 @@
     short: bool = False  # there was no room for its body
     timer: int = 0  # the engine's, for its timeout
 
+    def drop_body(self) -> None:
+        """What has been read of its answer is of no use."""
+        if self.body is not None:
+            self.body.release()
+            self.body = None
+
 
 @dataclass(slots=True)
 class Ended:
@@ -184,9 +190,7 @@
                 return
             written = call.stage is Stage.WRITING
             self._close(call)
-            if call.body is not None:
-                call.body.release()
-                call.body = None
+            call.drop_body()
         if written:
             self._orders.put(command("abort", call.exchange.id))
 
@@ -424,9 +428,7 @@
                 call.stage = Stage.OVER
         now, shared = self._tools.clock.now(), False
         for call in calls:
-            if call.body is not None:
-                call.body.release()
-                call.body = None
+            call.drop_body()
             if not call.begun and self._sock is not None and not call.moved:
                 self._tools.post(Unsent(call))
                 continue
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,6 +11,7 @@
 
 from examples.toy_server import Command, Coordinator, Member, body_of, entry, serve_all, tag_of
 from olivepost import interface as api
+from olivepost.config import read_address
 from olivepost.net import sockets
 from olivepost.net.clients import Clients, Connection
 from olivepost.net.engine import VOUCHED
@@ -176,25 +177,33 @@
         assert made.until(lambda: any(cache.seen("abort") for cache in made.caches))
 
 
-def test_a_client_that_does_not_read_harms_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
-    def narrow(sock: socket.socket, size: int) -> None:
-        """As if bodies were larger than the machine takes at once."""
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+@pytest.fixture
+def narrow(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As if bodies were larger than the machine takes at once."""
+    monkeypatch.setattr(
+        sockets, "widen", lambda sock, _: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    )
 
-    monkeypatch.setattr(sockets, "widen", narrow)
 
-    def reply(member: Member, command: Command) -> None:
-        if command.verb == "fetch":
-            command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
+def large(member: Member, command: Command) -> None:
+    """A member whose objects are as large as they may be."""
+    if command.verb == "fetch":
+        command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
 
-    with rig(reply) as made:
-        stuck = []
-        for _ in range(8):  # more than there are writers
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-            sock.connect(made.address)
-            sock.sendall(Client.request())
-            stuck.append(sock)
+
+def ask_narrowly(made: Rig, **more: Any) -> socket.socket:
+    """A client that takes little at once has asked."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(made.address)
+    sock.sendall(Client.request(**more))
+    return sock
+
+
+@pytest.mark.usefixtures("narrow")
+def test_a_client_that_does_not_read_harms_nobody() -> None:
+    with rig(large) as made:
+        stuck = [ask_narrowly(made) for _ in range(8)]  # more than there are writers
         assert made.until(lambda: made.counted("slow_clients") == 8)
         with made.client() as client:
             assert client.ask()[0] == 200
@@ -202,21 +211,10 @@
             sock.close()
 
 
-def test_a_client_that_reads_by_drops_has_an_absolute_limit(monkeypatch: pytest.MonkeyPatch) -> None:
-    def narrow(sock: socket.socket, size: int) -> None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-
-    monkeypatch.setattr(sockets, "widen", narrow)
-
-    def reply(member: Member, command: Command) -> None:
-        if command.verb == "fetch":
-            command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
-
-    with rig(reply, bounds={"slow": 300_000_000}) as made:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        sock.connect(made.address)
-        sock.sendall(Client.request(patience=15_000))
+@pytest.mark.usefixtures("narrow")
+def test_a_client_that_reads_by_drops_has_an_absolute_limit() -> None:
+    with rig(large, bounds={"slow": 300_000_000}) as made:
+        sock = ask_narrowly(made, patience=15_000)
         got, pause = 0, threading.Event()
         try:
             while piece := sock.recv(64):
@@ -228,7 +226,7 @@
         sock.close()
 
 
-def test_bodies_that_clients_hold_do_not_make_the_front_deaf(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_bodies_that_clients_hold_do_not_make_the_front_deaf() -> None:
     """With all buffers for bodies held, requests still get their refusal, and no member is blamed."""
     with rig() as made, made.client() as client:
         taken = made.front.pool.take(made.front.config.bounds.bodies)
@@ -725,9 +723,8 @@
         assert made.until(lambda: len(purges._times) == 1)
         other.events = list(made.coordinator.events)
         other.add(evict={"shard": 2, "unix_ms": time.time_ns() // 1_000_000})
-        host, port = other.address.split(":")
-        assert made.front.registry.follow((host, int(port)))
-        assert not made.front.registry.follow((host, int(port)))
+        assert made.front.registry.follow(read_address(other.address))
+        assert not made.front.registry.follow(read_address(other.address))
         made.coordinator.add(evict={"shard": 3, "unix_ms": time.time_ns() // 1_000_000})  # to nobody
         assert made.until(lambda: len(purges._times) == 2)
         assert other.wait_for_poll(2) and other.follows[0] == 2
@@ -761,9 +758,8 @@
         other = Stopping(trickles)
         other.events = list(made.coordinator.events)
         other.add(evict={"shard": 2, "unix_ms": time.time_ns() // 1_000_000})
-        host, port = other.address.split(":")
         began = time.monotonic()
-        made.front.registry.follow((host, int(port)))
+        made.front.registry.follow(read_address(other.address))
         purges = made.front.engine._router._purges
         assert made.until(lambda: ("group", 2) in purges._times)
         assert other.stopped and time.monotonic() - began >= 1  # the poll's own wait was left to it
@@ -779,8 +775,7 @@
         assert made.until(lambda: made.front.registry._last == 2)
         lagging = Coordinator()
         lagging.events = made.coordinator.events[:1]
-        host, port = lagging.address.split(":")
-        made.front.registry.follow((host, int(port)))
+        made.front.registry.follow(read_address(lagging.address))
         assert lagging.wait_for_poll(2) and lagging.follows[:2] == [2, 2]  # it is waited for
         assert made.until(lambda: made.front.registry._lower >= 1)
         lagging.events = list(made.coordinator.events)
