Sharing on sockets: host, operator's YAML file, stand-in store, commands, tests

The decision part needed its host. olivepost/sharing/host.py has a thread for the core and two lanes a store on redis-py with no retries (a command cut off may have run, and twice would lend a piece twice).

--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -8,6 +8,7 @@
 import queue
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from typing import Protocol
 
 from olivepost import interface as api
 from olivepost.choice import Router
@@ -30,6 +31,22 @@
     """The last event."""
 
 
+@dataclass(slots=True)
+class Advised:
+    """What comes of the shared stores, for the router."""
+
+    event: api.Event
+
+
+class Stores(Protocol):
+    """The shared stores, as the engine sees them: nothing here waits for them."""
+
+    def consult(self, ask: api.Consult, object_: str, group: int | None) -> None: ...
+    def settle(self, settled: api.Settled, issued: int) -> None: ...
+    def tell(self, event: api.Membership | api.Misled | api.Short | api.Lent | api.Suspect) -> None: ...
+    def purged(self, purge: api.Purge, now: int) -> None: ...
+
+
 @dataclass(slots=True, eq=False)
 class Held:
     """A request that is owed an answer, and its attempts that are out."""
@@ -38,9 +55,10 @@
     copy: Kept | None = None  # of the front's own, when the request came
     calls: dict[int, Call] = field(default_factory=dict)
     sends: int = 0
+    issued: int = 0  # of its answer
 
 
-Posted = Arrived | Left | Ended | Unsent | Told | Heard | Stop
+Posted = Arrived | Left | Ended | Unsent | Told | Heard | Advised | Stop
 
 
 class Engine:
@@ -50,6 +68,7 @@
         self._router, self._clock, self._log, self._copies, self._flow = router, clock, log, copies, flow
         self._heard = 0  # when the coordinator was last heard
         self._servers: Servers
+        self._stores: Stores | None = None
         self._queue: queue.SimpleQueue[tuple[int, Posted]] = queue.SimpleQueue()
         self._held: dict[str, Held] = {}
         self._timers: list[tuple[int, int, int, bool]] = []  # due, serial, token, whether it is a call's
@@ -61,6 +80,10 @@
         """Names the server side, before the first event."""
         self._servers = servers
 
+    def join_stores(self, stores: Stores) -> None:
+        """Names the shared stores, before the first event."""
+        self._stores = stores
+
     def post(self, event: Posted) -> None:
         """Hands over an event, from any thread."""
         self._queue.put((self._clock.now(), event))
@@ -130,7 +153,7 @@
         self._serial += 1
         heappush(self._timers, (self._clock.now() + delay, self._serial, token, calls))
 
-    def _take(self, now: int, event: Arrived | Left | Ended | Unsent | Told | Heard) -> None:
+    def _take(self, now: int, event: Arrived | Left | Ended | Unsent | Told | Heard | Advised) -> None:
         match event:
             case Arrived():
                 self._arrive(now, event.exchange)
@@ -147,6 +170,19 @@
                 self._heard = now
             case Told():
                 self._told(now, event)
+                if self._stores is not None:
+                    self._share(now, self._stores, event.what)
+            case Advised() if isinstance(event.event, api.Purge):  # as if the coordinator had told it
+                self._told(now, Told(event.event, []))
+            case Advised():
+                self._do(self._router.handle(now, event.event))
+
+    @staticmethod
+    def _share(now: int, stores: Stores, what: api.Membership | api.Purge) -> None:
+        if isinstance(what, api.Purge):
+            stores.purged(what, now)
+        else:
+            stores.tell(what)
 
     def _arrive(self, now: int, exchange: Exchange) -> None:
         if exchange.id in self._held:
@@ -205,6 +241,7 @@
         del held.calls[call.number]
         if event.status is not api.Status.OK:
             self._log.count(f"attempts_{event.status.name.lower()}")
+        held.issued = answer.issued if answer else 0
         body = answer.body.share() if answer and answer.body else None  # for the router's word on keeping it
         if answer is not None:
             self._close(held, answer)
@@ -262,6 +299,21 @@
                     pass  # done with the outcome that it goes with
                 case api.Subscribe():  # the long poll is always on
                     self.post(Told(api.Membership(api.ListKind.CHANGES, ()), []))
+                case _ if self._stores is not None:
+                    self._consult(self._stores, action, over)
+
+    def _consult(self, stores: Stores, action: api.Action, over: dict[str, Held]) -> None:
+        """What the router has for the shared stores."""
+        match action:
+            case api.Consult():
+                held = self._held.get(action.id)
+                if invariants.check(held is not None, "consults_for_what_is_held") and held is not None:
+                    stores.consult(action, held.exchange.object, held.exchange.group)
+            case api.Settled():
+                closed = over.get(action.id)
+                stores.settle(action, closed.issued if closed else 0)
+            case api.Misled() | api.Short() | api.Lent() | api.Suspect():
+                stores.tell(action)
 
     def _send(self, fetch: api.Fetch) -> None:
         held = self._held.get(fetch.id)
--- a/olivepost/net/front.py
+++ b/olivepost/net/front.py
@@ -10,7 +10,9 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from olivepost import __version__
 from olivepost.choice import Router
@@ -20,11 +22,15 @@
 from olivepost.net.clients import Clients
 from olivepost.net.clock import Clock
 from olivepost.net.copies import Copies
-from olivepost.net.engine import Engine, Stop
+from olivepost.net.engine import Advised, Engine, Stop
 from olivepost.net.log import Log
 from olivepost.net.registry import Registry
 from olivepost.net.servers import Servers, Tools
 
+if TYPE_CHECKING:
+    from olivepost.operator.model import OperatorSettings
+    from olivepost.sharing.host import Host
+
 FIGURES_EVERY = 10 * SECOND
 TERM_ACCEPTS = 700 * MS  # after SIGTERM for which clients still come, and a busy front has to read it
 TERM_LINGERS = 1.0  # seconds that clients have to end their connections after their last answer
@@ -66,7 +72,7 @@
 
     def __init__(
         self, config: Config, log_to: int = 1, signals: Callable[[int], str] | None = None,
-        read_again: Callable[[], Config] | None = None,
+        read_again: Callable[[], Config] | None = None, operator: OperatorSettings | None = None,
     ) -> None:
         self.config, bounds = config, config.bounds
         self._signals, self._read_again = signals or _none, read_again or (lambda: config)
@@ -75,7 +81,9 @@
         self.pool = Pool(bounds.bodies, bounds.buffer_size)
         self.rooms = Pool(bounds.readers, bounds.buffer_size)  # to read into
         self.copies = Copies(bounds.copies)
-        router = Router(config.settings, config.seed)
+        sharing = operator.sharing if operator else None
+        settings = replace(config.settings, store_wait=sharing.wait) if sharing else config.settings
+        router = Router(settings, config.seed)
         self.engine = Engine(router, self.clock, self.log, self.copies, config.flow)
         self.servers = Servers(Tools(bounds, self.pool, self.rooms, self.clock, self.log, self.engine.post))
         self.engine.join_servers(self.servers)
@@ -83,10 +91,20 @@
             bounds, config.settings.classes, self.rooms, self.clock, self.log, self.engine.post
         )
         self.registry = Registry(config.coordinator, self.clock, self.log, self.engine.post, config.seed)
+        self.stores: Host | None = None
+        if sharing:  # what is off is not even imported
+            from olivepost.sharing.host import Host
+
+            self.stores = Host(
+                sharing, config.name, self.clock, self.log, lambda event: self.engine.post(Advised(event))
+            )
+            self.engine.join_stores(self.stores)
 
     def start(self) -> tuple[str, int]:
         """Applies the list that is known, then opens the listener, so that no answer precedes the list."""
         threading.Thread(target=self.engine.run, name="engine", daemon=True).start()
+        if self.stores:
+            self.stores.start()
         self.registry.start(self.config.known)
         address = self.clients.listen(self.config.listen)
         self.log.event("started", version=__version__, listen=f"{address[0]}:{address[1]}")
@@ -141,6 +159,8 @@
             lingers -= 0 if self.engine.open else 0.01
             self._hear(self.clock.now() + 10 * MS)
         self.registry.stop()
+        if self.stores:
+            self.stores.close()
         self.clients.end()
         self.figures()
         self.log.event("ended", open=self.engine.open, connections=self.clients.open)
@@ -162,6 +182,7 @@
             buffers=self.pool.out, most_buffers=self.pool.peak, readers=self.rooms.out,
             copies=len(self.copies), broken=invariants.broken(),
             counts=self.log.totals(),
+            **({"sharing": self.stores.figures()} if self.stores else {}),
         )
 
 
@@ -189,11 +210,13 @@
     return {names[words[0]]: int(words[1]) for words in lines if words and words[0] in names}
 
 
-def serve(config: Config, read_again: Callable[[], Config]) -> int:
+def serve(
+    config: Config, read_again: Callable[[], Config], operator: OperatorSettings | None = None
+) -> int:
     """Runs a front until SIGTERM or SIGINT; SIGHUP has it read its configuration again. The exit code."""
     threading.stack_size(config.bounds.stack_size)
     sys.setswitchinterval(SWITCH)
-    front = Front(config, signals=Signals().wait, read_again=read_again)
+    front = Front(config, signals=Signals().wait, read_again=read_again, operator=operator)
     try:
         front.start()
     except OSError as fault:
--- /dev/null
+++ b/olivepost/sharing/host.py
@@ -0,0 +1,212 @@
+"""Owns the sharing core's thread and each store's connections; decides nothing.
+
+One thread drives the core. Each store has two lanes, a thread and a connection each: one for what requests
+wait for, one for everything else, so that upkeep never holds up a request's question. Lanes are bounded; what
+does not fit, or has waited too long to help, is given up unsent.
+"""
+
+from __future__ import annotations
+
+import queue
+import random
+import threading
+from collections import deque
+from collections.abc import Callable
+
+import redis
+
+from olivepost import interface as api
+from olivepost.net.clock import Clock
+from olivepost.net.log import Log
+from olivepost.sharing import client
+from olivepost.sharing import events as ev
+from olivepost.sharing.core import Sharing
+from olivepost.sharing.scripts import read_reply
+from olivepost.sharing.settings import MS, SECOND, SharingSettings, Store
+
+TICK = 10 * MS
+BATCH = 64
+MOST_EVENTS = 20_000  # that may wait for the core
+
+
+class Lane:
+    """A thread that asks one store, in batches."""
+
+    def __init__(self, host: Host, store: Store, urgent: bool, most: int) -> None:
+        self._host, self._urgent, self._most = host, urgent, most
+        self._client = client.connect(host.settings, store, 1)
+        self._waiting: deque[tuple[int, ev.Command]] = deque()
+        self._come = threading.Condition()
+        self._over = False
+        name = f"store-{'urgent' if urgent else 'upkeep'}"
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread.start()
+
+    def put(self, command: ev.Command) -> None:
+        """Queues a command, or gives it up at once."""
+        with self._come:
+            if len(self._waiting) < self._most and not self._over:
+                self._waiting.append((self._host.clock.now(), command))
+                self._come.notify()
+                return
+        self._host.log.count("store_queue_full")
+        self._host.put(ev.Lost(command.ticket, "the queue is full"))
+
+    def close(self) -> None:
+        with self._come:
+            self._over = True
+            self._come.notify()
+
+    def join(self, within: float) -> None:
+        self._thread.join(within)
+
+    def _run(self) -> None:
+        while True:
+            with self._come:
+                while not self._waiting and not self._over:
+                    self._come.wait()
+                if self._over:
+                    break
+                batch = [self._waiting.popleft() for _ in range(min(BATCH, len(self._waiting)))]
+            self._ask([command for since, command in batch if self._helps(since, command)])
+        self._client.close()
+
+    def _helps(self, since: int, command: ev.Command) -> bool:
+        """Whether an answer could still be of use; what is surely not sent is told so."""
+        bound = self._host.settings.wait if self._urgent else self._host.settings.give_up
+        if self._host.clock.now() - since <= bound:
+            return True
+        self._host.log.count("store_asks_unsent")
+        self._host.put(ev.Lost(command.ticket, "waited too long"))
+        return False
+
+    def _ask(self, commands: list[ev.Command]) -> None:
+        if not commands:
+            return
+        host = self._host
+        try:
+            replies = client.run(self._client, [command.op for command in commands], host.prefix,
+                                 host.incarnation, not self._urgent)
+        except Exception as fault:  # whatever it is, the tickets must come back
+            # A connection left with half an answer would give the next question that.
+            self._client.connection_pool.disconnect()
+            if not isinstance(fault, (redis.RedisError, OSError)):
+                host.log.fault("store_fault")
+            host.fault(fault)
+            for command in commands:
+                host.put(ev.Lost(command.ticket, type(fault).__name__))
+            return
+        for command, reply in zip(commands, replies, strict=True):
+            if isinstance(reply, Exception):
+                host.fault(reply)
+                host.put(ev.Lost(command.ticket, str(reply)[:120]))
+            else:
+                host.put(read_reply(command.ticket, reply))
+
+
+class Host:
+    """What the engine sees of the stores."""
+
+    def __init__(
+        self, settings: SharingSettings, name: str, clock: Clock, log: Log, post: Callable[[api.Event], None],
+    ) -> None:
+        draw = random.SystemRandom()
+        self.settings, self.clock, self.log, self._post = settings, clock, log, post
+        self.incarnation = f"{draw.getrandbits(64):016x}"
+        self.prefix = f"olivepost:{settings.branch}"
+        self.core = Sharing(settings.terms(name, self.incarnation), draw.getrandbits(64))
+        self._events: queue.SimpleQueue[ev.Event | None] = queue.SimpleQueue()
+        self._faults: dict[str, int] = {}
+        self._fault_said = 0
+        self._lanes: dict[tuple[str, bool], Lane] = {}
+        self._thread = threading.Thread(target=self._run, name="sharing", daemon=True)
+
+    def start(self) -> None:
+        """Opens the lanes and starts the core; connections are made as they are needed."""
+        queues = self.settings.queues
+        for store in self.settings.stores:
+            for urgent, most in ((True, queues.urgent), (False, queues.upkeep)):
+                self._lanes[store.name, urgent] = Lane(self, store, urgent, most)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Ends all threads; what is out is left to its time."""
+        self._events.put(None)
+        for lane in self._lanes.values():
+            lane.close()
+        self._thread.join(1.0)
+        for lane in self._lanes.values():
+            lane.join(self.settings.give_up / SECOND + 1.0)
+
+    def put(self, event: ev.Event) -> None:
+        """Hands an event to the core, from any thread; beyond the bound, advice is dropped."""
+        if self._events.qsize() >= MOST_EVENTS and not isinstance(event, (ev.Reply, ev.Lost, ev.Ended)):
+            self.log.count("sharing_events_dropped")
+            return
+        self._events.put(event)
+
+    # What the engine calls
+
+    def consult(self, ask: api.Consult, object_: str, group: int | None) -> None:
+        self.put(ev.Consulted(ask, object_, group))
+
+    def settle(self, settled: api.Settled, issued: int) -> None:
+        self.put(ev.Ended(settled, issued // MS))
+
+    def tell(self, event: api.Membership | api.Misled | api.Short | api.Lent | api.Suspect) -> None:
+        self.put(event)
+
+    def purged(self, purge: api.Purge, now: int) -> None:
+        self.put(ev.Purged(purge, (now - purge.age) // MS))
+
+    def figures(self) -> dict[str, object]:
+        """Counts since the start, and how each store stands."""
+        return {
+            "counts": dict(self.core.figures.counts),
+            "stores": {name: {"gate": store.gate.value, "trust": store.trust.value,
+                              "generation": store.generation} for name, store in self.core.stores.items()},
+        }
+
+    def fault(self, fault: Exception) -> None:
+        """Notes why a store could not be used: a line for each kind of reason every ten seconds at most."""
+        self.log.count("store_faults")
+        why = f"{type(fault).__name__}: {fault}"[:160]
+        now = self.clock.now()
+        if now - self._faults.get(why[:40], 0) >= 10 * SECOND:
+            if len(self._faults) > 64:
+                self._faults.clear()
+            self._faults[why[:40]] = now
+            self.log.event("store_fault", why=why)
+
+    def _run(self) -> None:
+        due = 0
+        while True:
+            now = self.clock.now()
+            if now >= due:
+                due = now + TICK
+                self._handle(ev.Tick())
+                continue
+            try:
+                event = self._events.get(timeout=(due - now) / SECOND)
+            except queue.Empty:
+                continue
+            if event is None:
+                return
+            self._handle(event)
+
+    def _handle(self, event: ev.Event) -> None:
+        try:
+            actions = self.core.handle(self.clock.now(), event)
+        except Exception:  # one event's fault must not end the rest
+            self.log.fault("sharing_fault", kind=type(event).__name__)
+            if isinstance(event, ev.Consulted):
+                self._post(api.Advice(event.ask.id))
+            return
+        for action in actions:
+            match action:
+                case ev.Command():
+                    self._lanes[action.store, action.urgent].put(action)
+                case ev.Tell():
+                    self._post(action.event)
+                case ev.Note():
+                    self.log.event(action.name, **action.fields)
--- /dev/null
+++ b/tests/sharing/test_operator.py
@@ -0,0 +1,99 @@
+"""The operator's file: what it may hold, and how its faults are told."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from examples.toy_server import CONFIG
+from olivepost.cli import main
+from olivepost.operator.loader import OperatorError, load
+from olivepost.operator.units import read_secret, read_span, write_span
+
+EXAMPLE = Path(__file__).parents[2] / "deploy" / "examples" / "sharing.yaml"
+STORE = "  stores: [{name: s, address: '127.0.0.1:1'}]\n"
+
+
+def faults(tmp_path: Path, text: str) -> str:
+    path = tmp_path / "operator.yaml"
+    path.write_text(text)
+    with pytest.raises(OperatorError) as raised:
+        load(str(path))
+    return str(raised.value)
+
+
+def test_the_example_can_be_used(capsys: pytest.CaptureFixture[str]) -> None:
+    sharing = load(str(EXAMPLE)).sharing
+    assert sharing is not None and sharing.wait == 10_000_000
+    assert sharing.stores[0].address == ("127.0.0.1", 7379)
+    assert main(["check", "--config", str(CONFIG), "--operator", str(EXAMPLE)]) == 0
+    assert main(["check", "--operator", str(EXAMPLE)]) == 0
+    assert "can be used" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("sharing:\n  branch: w\n" + STORE + "  wait: 3\n", ":4: sharing.wait: must be from 1ms to 100ms, not 3"),
+    ("sharing:\n  branch: w\n" + STORE + "  wait: soon\n", ":4: sharing.wait: must be a duration like 250ms"),
+    ("sharing:\n  branch: w\n" + STORE + "  riddle: 1\n", ":4: sharing.riddle: no such key"),
+    ("sharing:\n" + STORE, ":1: sharing.branch: is missing"),
+    ("sharing:\n  branch: w\n  stores:\n    - name: s\n      address: nowhere\n",
+     ":5: sharing.stores.0.address: must be an address like 10.0.0.4:6379"),
+    ("sharing:\n  branch: w\n  branch: x\n" + STORE, ":3: sharing.branch: stands twice"),
+    ("a: &x 1\nb: *x\n", ":2: aliases are not allowed"),
+    ("sharing: [\n", "not YAML"),
+    ("sharing:\n  branch: w\n  stores: []\n", ":3: sharing.stores: "),
+    ("sharing:\n  branch: w\n" + STORE + "  budgets: {loan: 3s}\n", ":4: sharing.budgets.loan: must be from"),
+    ("sharing:\n  branch: w\n  stores: [{name: s, address: 'h:1'}, {name: s, address: 'h:2'}]\n", "same"),
+    ("sharing:\n  branch: w\n  stores: [{name: s, address: 'h:1', user: u}]\n", "needs a password_file"),
+    ("sharing:\n  branch: w\n" + STORE + "  trials: {first: 2s, most: 1s}\n", ":4: sharing.trials: most"),
+])
+def test_a_fault_names_file_line_key_and_what_is_allowed(tmp_path: Path, text: str, told: str) -> None:
+    assert told in faults(tmp_path, text) and "operator.yaml" in faults(tmp_path, text)
+
+
+def test_a_faulty_file_ends_with_code_2(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "operator.yaml"
+    path.write_text("sharing: {}\n")
+    assert main(["check", "--operator", str(path)]) == 2
+    assert "sharing.branch: is missing" in capsys.readouterr().err
+    assert main(["serve", "--config", str(CONFIG), "--operator", str(tmp_path / "none")]) == 2
+    assert "can't be read" in capsys.readouterr().err
+
+
+def test_the_schema_names_every_section(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["schema"]) == 0
+    assert "sharing" in json.loads(capsys.readouterr().out)["properties"]
+
+
+@settings(max_examples=200, derandomize=True, deadline=None, database=None)
+@given(st.integers(1, 10**13))
+def test_a_span_is_read_as_it_is_written(span: int) -> None:
+    span -= span % 1_000
+    assert read_span(write_span(span)) == span
+
+
+def test_a_secret_is_never_told(tmp_path: Path) -> None:
+    path = tmp_path / "secret"
+    path.write_bytes(b"hush\n")
+    assert read_secret(path) == "hush"
+    path.write_bytes(b"hush\nhush\n")
+    with pytest.raises(ValueError) as raised:
+        read_secret(path)
+    assert "hush" not in str(raised.value)
+
+
+def test_without_an_operators_file_nothing_of_it_is_imported() -> None:
+    """Guards the platform's front against the memory and start of what is off."""
+    code = ("import sys, olivepost.cli, olivepost.net.front\n"
+            "sys.exit(olivepost.cli.main(['check', '--config', sys.argv[1]]) or\n"
+            " any(name.split('.')[0] in ('redis', 'hiredis', 'yaml', 'pydantic', 'msgspec', 'crc32c')\n"
+            "     or name.startswith(('olivepost.sharing', 'olivepost.operator')) for name in sys.modules))")
+    command = [sys.executable, "-c", code, str(CONFIG)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stderr
