--- a/benchmarks/branch.py
+++ b/benchmarks/branch.py
@@ -53,6 +53,7 @@
     """What happened."""
 
     requests: int = 0
+    steps: int = 0  # events handed to routers and sharing cores
     served: int = 0
     fills: int = 0
     double_fills: int = 0  # of a name that another cache of the branch had or was filling
@@ -88,6 +89,8 @@
         self.router = Router(branch.settings, branch.draw.randrange(2**32))
         self.sharing: Sharing | None = None
         self.do_router(api.Membership(api.ListKind.STORED, branch.members()))
+        for group, at in branch.purges.items():  # the coordinator tells of them at a start
+            self.do_router(api.Purge(None, group, branch.now - at))
         if branch.sharing:
             process = f"{branch.draw.getrandbits(64):016x}"
             terms = ev.Terms(f"n{self.number}", process, tuple(branch.stores), branch.late, branch.sync,
@@ -103,12 +106,14 @@
 
     def do_router(self, event: api.Event) -> None:
         now = self.clock(self.branch.now)
+        self.branch.counts.steps += 1
         for action in self.router.handle(now, event):
             self.act(action)
 
     def do_sharing(self, event: ev.Event) -> None:
         if self.sharing is None:
             return
+        self.branch.counts.steps += 1
         for action in self.sharing.handle(self.clock(self.branch.now), event):
             match action:
                 case ev.Command():
@@ -296,6 +301,15 @@
 
     def purge(self, groups: list[int]) -> None:
         """The coordinator tells all fronts of purges."""
+        now = self.now
+
+        def gone() -> None:  # from here on no cache has such copies: fronts forget the purge
+            for cache in self.caches.values():
+                for name in [name for name, born in cache.kept.items()
+                             if born < now and int(name.partition(".")[0], 16) % self.groups in groups]:
+                    del cache.kept[name]
+
+        self.after(self.settings.purge_done, None, gone)
         for group in groups:
             self.purges[group] = self.now
             for front in self.fronts:
@@ -383,6 +397,7 @@
             if not cache.started:
                 continue
             key, total, most = f"cold:{name}@{cache.started}", 0.0, 0.0
+            slots = bound = 0.0
             for front in self.fronts:
                 router, at = front.router, front.clock(self.now)
                 member = router._members.get(name)
@@ -392,8 +407,12 @@
                 part = s.caches.fall_multiple * share * s.fall_window * router._sure(member)
                 total += max(0.0, part + router._moved(at, key, part))
                 most += part
+                held = router._part(at, member)
+                slots += max(0.0, held + router._moved(at, f"open:{name}@{cache.started}", held))
+                bound += held
             self.counts.looks += 1
             self.counts.over_whole += total > most * (1 + 1e-9) + 1e-6
+            self.counts.over_whole += slots > bound * (1 + 1e-9) + 1e-6
 
     def cold_use(self, name: str) -> tuple[float, float]:
         """What a cold cache was sent in the windows so far, and what its whole budget was."""
--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -404,7 +404,7 @@
             rate = self._tiers[member.role].fall_multiple * self._share(now - window, member)
             part, used, until = rate * window * self._sure(member), member.charge(now, window), until + window
         elif member and event.key == self._key("open", member):
-            part, used = self._part(now, member), member.open + 1.0
+            part, used = self._part(now, member), float(member.open)
         most = LEND_SHARE * part + self._moved(now, event.key, 0.0, 0.0)
         amount = max(0.0, min(event.most, most, part + self._moved(now, event.key, 0.0) - used))
         if amount := amount * (self._held_back <= now < event.until <= now + LOAN_MOST):
--- a/standins/redis/__main__.py
+++ b/standins/redis/__main__.py
@@ -1,7 +1,9 @@
-"""A stand-in store of the Redis kind on loopback.
+"""A stand-in store of the Redis kind on loopback: `python -m standins redis`.
+
+Entries of a schedule without 'at_s', a JSON line each on standard input, are put in force at once.
 
 Usage:
-  python -m standins redis [--listen ADDRESS] [--seed N] [--password TEXT] [--faults FILE]
+  standins redis [--listen ADDRESS] [--seed N] [--password TEXT] [--faults FILE]
 
 Options:
   --listen ADDRESS  Where to listen; port 0 takes any [default: 127.0.0.1:0].
@@ -15,6 +17,7 @@
 import json
 import sys
 import threading
+from functools import partial
 from pathlib import Path
 
 from docopt import DocoptExit, docopt
@@ -38,5 +41,12 @@
         print(fault, file=sys.stderr)
         return 2
     print(json.dumps({"standin": "redis", "address": "{}:{}".format(*server.address)}), flush=True)
+    for line in sys.stdin:
+        try:
+            (step,) = read_schedule(json.dumps([{"at_s": 0, **json.loads(line)}]))
+            server.call(partial(server.change, step.change))
+            print(json.dumps(step.change), flush=True)
+        except (ScheduleError, ValueError, TypeError) as fault:
+            print(json.dumps({"fault": str(fault)}), flush=True)
     threading.Event().wait()
     return 0
