--- a/tests/sharing/test_branch.py
+++ b/tests/sharing/test_branch.py
@@ -299,3 +299,58 @@
             kept = made.stores["s0"].data[b"t:%d:purges" % standing.generation]
             assert len(kept) == made.groups
     assert Trust.RESTORING in seen and standing.up
+
+
+def test_a_reply_three_seconds_late_is_treated_as_unknown() -> None:
+    """The claim may be ours: the fill goes on as without a store, and nothing is published of it."""
+    made = branch()
+    made.ways["s0"].span = (1500 * MS, 1500 * MS + 1)
+    made.request(made.fronts[0], NAME)
+    made.run(900 * MS)
+    assert made.counts.served == 1  # it waited for its 10 ms and no longer
+    made.run(4 * SECOND)
+    assert made.counts.numbers <= 1 and not counted(made, "claims_settled")
+
+
+def test_a_store_that_forgets_while_claims_run_lets_no_old_owner_publish() -> None:
+    made = branch(fill=(600 * MS, 601 * MS))
+    made.request(made.fronts[0], NAME)
+    made.run(30 * MS)
+    made.stores["s0"].lose()
+    made.run(100 * MS)
+    keep_apart(made, 1, cold_home(made))
+    made.request(made.fronts[1], NAME)  # the name can be claimed again at once
+    made.run(3 * SECOND)
+    assert made.counts.numbers == 2 and not made.counts.old_published and made.counts.served == 2
+    assert counted(made, "claims_settled") <= 1
+
+
+def test_a_piece_whose_handing_on_was_cut_off_stays_lent() -> None:
+    """It may have been handed on: giving it back would count it twice."""
+    made = branch(3)
+    made.restart_cache("c0")
+    made.run(SECOND)
+    key, lender = f"cold:c0@{made.caches['c0'].started}", made.fronts[0]
+    made.ways["s0"].cut = 1.0
+    made.fronts[1].do_sharing(api.Short(key, 1e6))
+    made.run(60 * MS)
+    made.ways["s0"].cut = 0.0
+    made.fronts[1].do_sharing(api.Short(key, 1e9))
+    for _ in range(40):
+        made.run(10 * MS)
+        made.ways["s0"].cut = 1.0 if lender.router._loans else 0.0
+        made.look_at_budgets()
+    assert lender.router._loans and not made.counts.over_whole
+    made.run(300 * MS)
+    assert lender.router._moved(lender.clock(made.now), key, 0.0) < 0
+
+
+def test_odd_records_are_told_once_a_minute() -> None:
+    made = branch(1)
+    sharing = made.fronts[0].sharing
+    assert sharing is not None
+    for _ in range(100):
+        key = b"t:%d:suspects" % sharing.stores["s0"].generation
+        made.stores["s0"].call([b"HSET", key, b"nobody", b"9999999999999"])
+        made.run(SECOND)
+    assert 1 <= made.notes["store_records_odd"] <= 2 and counted(made, "records_odd") >= 100
