--- a/benchmarks/branch.py
+++ b/benchmarks/branch.py
@@ -16,12 +16,12 @@
 
 from olivepost import interface as api
 from olivepost.choice import Router
+from olivepost.config import MS, SECOND
 from olivepost.sharing import events as ev
 from olivepost.sharing import scripts
 from olivepost.sharing.core import Sharing
 from standins.redis.keyspace import Keyspace, Wrong
 
-MS, SECOND = 1_000_000, 1_000_000_000
 START = 1_800_000_000 * SECOND
 RATE_MOST = 0.004  # by which a front's clock runs fast or slow
 
@@ -68,8 +68,6 @@
     old_published: int = 0  # what an owner other than the last published, and the store took
     over_whole: int = 0  # looks at all parts and loans together that found more than the whole
     looks: int = 0
-    sent_over: int = 0  # windows in which a cold cache was sent more than the whole
-    waits: list[int] = field(default_factory=list)
 
 
 class Front:
@@ -168,7 +166,6 @@
         self.caches = {f"c{i}": Cache(room, link) for i in range(caches)}
         self.stores = {f"s{i}": Keyspace(self.now_ms) for i in range(stores)}
         self.ways = {name: Way() for name in self.stores}
-        self.states = dict.fromkeys(self.caches, api.State.READY)
         self.names = [f"{i:06x}" for i in range(names)]
         weights = [1 / (i + 1) ** skew for i in range(names)]
         self.weights = [sum(weights[: i + 1]) for i in range(names)]
@@ -182,7 +179,7 @@
         return self.now // MS
 
     def members(self) -> tuple[api.Listed, ...]:
-        rows = [api.Listed(name, self.states[name], "standard", "west", 0, cache.link, cache.started)
+        rows = [api.Listed(name, api.State.READY, "standard", "west", 0, cache.link, cache.started)
                 for name, cache in self.caches.items()]
         return (*rows, api.Listed("p", api.State.READY, "parent", "hub", 0, 40.0),
                 api.Listed("o", api.State.READY, "origin", "hub", 0, 40.0))
@@ -242,7 +239,7 @@
         if cache is None:  # straight to a parent
             self._end(front, life, fetch, number, api.Status.OK, api.Note.FILLED, 80 * MS, now)
             return
-        work = 1.0 * request.size_kb / self.settings.pace_kb_per_s * SECOND
+        work = request.size_kb / self.settings.pace_kb_per_s * SECOND
         cache.work.append((now, work))
         born = cache.kept.get(name)
         bound = fetch.max_age or self.settings.classes[request.class_name].fresh
@@ -259,7 +256,7 @@
         else:
             self.counts.fills += 1
             others = [other for other in self.caches.values() if other is not cache]
-            fresh = max(self.purges.get(request.group or 0, 0), 0)
+            fresh = self.purges.get(request.group or 0, 0)
             had = any(other.kept.get(name, 0) > fresh or other.filling.get(name, 0) > now for other in others)
             self.counts.double_fills += had
             span = self.draw.randrange(*self.fill)
--- a/benchmarks/caches.py
+++ b/benchmarks/caches.py
@@ -77,11 +77,11 @@
                 self.counts["hits"] += 1
                 purged = self.purged.get(group_of(fields["name"]), 0)
                 self.counts["older_than_purge"] += born < purged and now > purged + TOLD_MS
-                self.after(0.004, lambda: answer(command, "HIT", name, born, "warm"))
+                self.after(0.004, lambda: answer(command, name, born, "warm"))
             elif name in filling:
                 end, born = filling[name]
                 self.counts["joined"] += 1
-                self.after(end - time.monotonic(), lambda: answer(command, "HIT", name, born, "piggy"))
+                self.after(end - time.monotonic(), lambda: answer(command, name, born, "piggy"))
             elif "miss" not in fields:
                 self.counts["misses"] += 1
                 self.after(0.001, lambda: command.answer("NONE"))
@@ -104,7 +104,7 @@
                     kept[name] = now
                     while len(kept) > self.room:
                         del kept[next(iter(kept))]
-            answer(command, "HIT", name, now, "fill")
+            answer(command, name, now, "fill")
 
         self.after(span, filled)
 
@@ -125,7 +125,6 @@
         for group in groups:
             self.coordinator.add(evict={"shard": group, "unix_ms": now})
 
-
     def _gone(self, groups: set[int], purged: int) -> None:
         """No cache has such copies from here on, as the fronts' settings say."""
         with self.lock:
@@ -139,11 +138,11 @@
     return int(name, 16) % GROUPS
 
 
-def answer(command: Command, word: str, name: str, born: int, why: str) -> None:
+def answer(command: Command, name: str, born: int, why: str) -> None:
     """A body of 2 KB that follows from the name; a connection that has gone is left alone."""
     body, tag = blake2b(name.encode()).digest() * 32, blake2b(name.encode(), digest_size=8).hexdigest()
     try:
-        command.answer(word, body, why=why, entity=tag, issued=str(born))
+        command.answer("HIT", body, why=why, entity=tag, issued=str(born))
     except OSError:
         return
 
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -18,8 +18,8 @@
 from benchmarks.branch import Branch
 from benchmarks.fleet import Fleet, Process, Tally, fleet, load
 from olivepost import interface as api
+from olivepost.config import MS, SECOND
 
-MS, SECOND = 1_000_000, 1_000_000_000
 FRONTS, CACHES, ROOM, NAMES = 4, 6, 150, 1_200
 FAULTS: dict[str, list[dict[str, Any]]] = {
     "healthy": [],
--- a/olivepost/operator/loader.py
+++ b/olivepost/operator/loader.py
@@ -31,9 +31,10 @@
         for event in yaml.parse(data, Loader=yaml.SafeLoader):
             if isinstance(event, yaml.AliasEvent):  # a small file must not grow into a large one
                 raise OperatorError(f"{path}:{_line(event.start_mark)}: aliases are not allowed")
-        root = yaml.compose(data, Loader=yaml.SafeLoader)
+        reader = yaml.SafeLoader(data)
+        root = reader.get_single_node()
         _no_key_twice(path, root, ())
-        plain = yaml.safe_load(data)
+        plain = None if root is None else reader.construct_document(root)
     except yaml.MarkedYAMLError as fault:
         line = _line(fault.problem_mark) if fault.problem_mark else 1
         raise OperatorError(f"{path}:{line}: not YAML: {fault.problem}") from fault
--- a/olivepost/sharing/client.py
+++ b/olivepost/sharing/client.py
@@ -12,10 +12,11 @@
 from redis.maint_notifications import MaintNotificationsConfig
 from redis.retry import Retry
 
+from olivepost.config import SECOND
 from olivepost.operator.units import read_secret
 from olivepost.sharing.events import Op
 from olivepost.sharing.scripts import DIGESTS, NAMES, script_of
-from olivepost.sharing.settings import SECOND, SharingSettings, Store
+from olivepost.sharing.settings import SharingSettings, Store
 
 
 class PasswordFile(CredentialProvider):
--- a/olivepost/sharing/core.py
+++ b/olivepost/sharing/core.py
@@ -8,20 +8,21 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from olivepost import interface as api
 from olivepost.choice import place
+from olivepost.config import MS, SECOND
 from olivepost.sharing import events as ev
 from olivepost.sharing.claims import Own, OwnClaims
 from olivepost.sharing.loans import Loans, Offer
 from olivepost.sharing.purges import KnownPurges
-from olivepost.sharing.records import Claim, Holder, Need, Piece, PurgeKey, RecordError, pack, unpack
+from olivepost.sharing.records import Claim, Holder, Need, Piece, PurgeKey, RecordError, pack, unpack, whole
 from olivepost.sharing.standing import Gate, Standing, Trust, Verdict
 from olivepost.sharing.suspicions import Suspicions
 
-MS, SECOND = 1_000_000, 1_000_000_000
 MOST_ASKED = 4_096  # questions that are out, all stores together; beyond, advice is dropped, not requests
 ODD_EVERY = 60 * SECOND  # a line of the log on records that can't be used, at most
 AHEAD_MOST_MS = 10_000  # that another front's clock may be ahead
@@ -51,27 +52,17 @@
     over: ev.Ended | None = None  # its request ended before the store's word came
 
 
-@dataclass(slots=True)
-class Figures:
-    """Counts since the start."""
-
-    counts: dict[str, int] = field(default_factory=dict)
-
-    def add(self, name: str, by: int = 1) -> None:
-        self.counts[name] = self.counts.get(name, 0) + by
-
-
 class Sharing:
     """One front's side of all shared stores."""
 
     def __init__(self, terms: ev.Terms, seed: int) -> None:
-        self.terms, self.figures = terms, Figures()
+        self.terms, self.counts = terms, Counter[str]()  # counts: since the start
         draw = random.Random(seed)
         self.stores = {
             name: Standing(name, draw, terms.trial_first, terms.trial_most) for name in terms.stores
         }
         self._asked: dict[int, Asked] = {}
-        self._syncing: dict[str, int] = {}  # the sync that is out, by store
+        self._syncing: set[str] = set()  # stores with a sync that is out
         self._next_sync = dict.fromkeys(self.stores, 0)
         self._tickets = 0
         self._waiting: dict[str, Waiting] = {}
@@ -124,7 +115,7 @@
         then: Callable[[int, Asked, tuple[object, ...] | None], None],
     ) -> bool:
         if len(self._asked) >= MOST_ASKED:
-            self.figures.add("asks_dropped")
+            self.counts["asks_dropped"] += 1
             return False
         self._tickets += 1
         self._asked[self._tickets] = Asked(store, op, now, store.generation, store.confirmed, then)
@@ -134,7 +125,7 @@
     def _replied(self, now: int, reply: ev.Reply) -> None:
         asked = self._asked.pop(reply.ticket, None)
         if asked is None:  # twice, or nobody's
-            self.figures.add("replies_of_nobody")
+            self.counts["replies_of_nobody"] += 1
             return
         store, in_time = asked.store, now - asked.sent <= self.terms.late
         if not asked.late:  # else it has been counted
@@ -146,7 +137,7 @@
         if verdict is Verdict.COUNTS:
             asked.then(now, asked, reply.values)
             return
-        self.figures.add(f"replies_{verdict.name.lower()}")
+        self.counts[f"replies_{verdict.name.lower()}"] += 1
         if verdict is Verdict.MOVED:
             self._adopt(now, store, reply.generation)
         elif verdict in (Verdict.EMPTY, Verdict.WENT_BACK):
@@ -157,7 +148,7 @@
         asked = self._asked.pop(lost.ticket, None)
         if asked is None:
             return
-        self.figures.add("asks_lost")
+        self.counts["asks_lost"] += 1
         if not asked.late:
             asked.store.answered(now, False)
         asked.then(now, asked, None)
@@ -210,7 +201,7 @@
             if not asked.late and now - asked.sent > self.terms.late:
                 asked.late = True
                 asked.store.answered(now, False)
-        self.figures.add("claims_outlived", self.claims.sweep(now))
+        self.counts["claims_outlived"] += self.claims.sweep(now)
         for name, store in self.stores.items():
             if now >= self._next_sync[name] and name not in self._syncing and store.due(now):
                 self._sync(now, store)
@@ -229,12 +220,12 @@
             self.suspicions.own(now) if sure and self.terms.suspicions else (),
         )
         if self._ask(now, store, op, False, self._synced):
-            self._syncing[store.name] = self._tickets
+            self._syncing.add(store.name)
 
     def _synced(self, now: int, asked: Asked, values: tuple[object, ...] | None) -> None:
         """Purges, needs, pieces and suspicions of others; each is read by itself, what is odd is skipped."""
         store = asked.store
-        self._syncing.pop(store.name, None)
+        self._syncing.discard(store.name)
         if values is None or not isinstance(asked.op, ev.Sync):
             return
         store.confirmed = max(store.confirmed, asked.op.serial)
@@ -260,7 +251,7 @@
             self._note_odd(fault)
 
     def _note_odd(self, fault: RecordError) -> None:
-        self.figures.add("records_odd")
+        self.counts["records_odd"] += 1
         why = str(fault)[:120]
         if why in self._odd or len(self._odd) < 16:
             self._odd[why] = self._odd.get(why, 0) + 1
@@ -291,7 +282,7 @@
         """A purge whose publication was not confirmed must not be forgotten: all are put back."""
         store = asked.store
         if values is None and store.trust is Trust.SURE and asked.generation == store.generation:
-            self.figures.add("purges_unconfirmed")
+            self.counts["purges_unconfirmed"] += 1
             store.trust = Trust.RESTORING
             store.restore.extend(self.purges.chunks())
 
@@ -299,11 +290,11 @@
         if not isinstance(row, (list, tuple)) or len(row) != 3 or not isinstance(row[1], bytes):
             raise RecordError("a purge of another form")
         # A purge of the far future would make every hint on its key useless for good.
-        number, at_ms = _whole(row[0]), min(_whole(row[2]), now // MS + AHEAD_MOST_MS)
+        number, at_ms = whole(row[0]), min(whole(row[2]), now // MS + AHEAD_MOST_MS)
         store.cursor = max(store.cursor, number)
         key = PurgeKey.read(row[1])
         if self.purges.note(key, at_ms) and self.terms.purges:
-            self.figures.add("purges_heard")
+            self.counts["purges_heard"] += 1
             # Ahead of this clock counts as now: nothing that is out is younger.
             purge = api.Purge(key.object, key.group, max(0, now - at_ms * MS))
             self._actions.append(ev.Tell(purge))
@@ -318,7 +309,7 @@
         wanted = self.terms.claims if claims else self.terms.holders or self.terms.claims
         own = self.claims.running(now, ask.name, store.generation)
         if own is not None and store.up:  # another request of this front's fills it: no need to ask
-            self.figures.add("claims_shared")
+            self.counts["claims_shared"] += 1
             self._advise(waiting, api.Advice(ask.id, own.cache, True, max(0, own.until - now)))
             return
         if not (wanted and store.up and ask.within > 0):
@@ -330,7 +321,7 @@
             record = pack(Claim(owner=self.terms.front, process=self.terms.incarnation, cache=ask.cache,
                                 source=ask.source, started=self._started(ask.cache)))
             span = max(1, min(ask.span, self.terms.claim_most) // MS)
-            self.figures.add("claims_tried")
+            self.counts["claims_tried"] += 1
         op = ev.Look(store.generation, ask.name, purges, record, span)
 
         def known(then: int, asked: Asked, values: tuple[object, ...] | None) -> None:
@@ -368,12 +359,12 @@
         ask, word = waiting.ask, values[0]
         none = api.Advice(ask.id)
         if word == b"mine" and isinstance(asked.op, ev.Look) and asked.op.record:
-            self._granted(now, asked, _whole(values[1]), waiting)
+            self._granted(now, asked, whole(values[1]), waiting)
         elif word == b"taken":
             claim = unpack(Claim, values[1].partition(b" ")[2] if isinstance(values[1], bytes) else b"")
             if self._usable(claim.cache, claim.started):
-                self.figures.add("claims_followed")
-                left = max(0, min(_whole(values[2]), self.terms.claim_most // MS)) * MS
+                self.counts["claims_followed"] += 1
+                left = max(0, min(whole(values[2]), self.terms.claim_most // MS)) * MS
                 return api.Advice(ask.id, claim.cache, True, left)
         elif word == b"held" and self.terms.holders:
             record = values[1] if isinstance(values[1], bytes) else b""
@@ -381,7 +372,7 @@
             if self._stale(holder, waiting):
                 self._drop(now, asked.store, ask.name, record, 2)
             elif self._usable(holder.cache, holder.started):
-                self.figures.add("hints_given")
+                self.counts["hints_given"] += 1
                 while len(self._hints) >= MOST_ASKED:  # most are right, and no word of them comes back
                     del self._hints[next(iter(self._hints))]
                 self._hints[ask.id] = asked.store, asked.generation, ask.name, record
@@ -410,9 +401,9 @@
         own = Own(ask.id, ask.name, asked.store.name, asked.generation, b"%d %b" % (number, op.record),
                   number, ask.cache, asked.sent, asked.sent + op.span_ms * MS)
         if not self.claims.add(own):
-            self.figures.add("claims_fenced")
+            self.counts["claims_fenced"] += 1
             return
-        self.figures.add("claims_owned")
+        self.counts["claims_owned"] += 1
         if waiting.over is not None:
             self._ended(now, waiting.over)
 
@@ -427,7 +418,7 @@
             return
         store = self.stores[own.store]
         if now >= own.until:
-            self.figures.add("claims_outlived")
+            self.counts["claims_outlived"] += 1
             return
         if store.generation != own.generation or store.gate is Gate.SHUT:
             return
@@ -441,13 +432,13 @@
 
     def _settled(self, now: int, asked: Asked, values: tuple[object, ...] | None) -> None:
         done = bool(values) and values is not None and values[0] == b"done"
-        self.figures.add("claims_settled" if done else "claims_not_published")
+        self.counts["claims_settled" if done else "claims_not_published"] += 1
 
     def _misled(self, now: int, event: api.Misled) -> None:
         hint = self._hints.pop(event.id, None)
         if hint is not None:
             store, generation, name, record = hint
-            self.figures.add("hints_wrong")
+            self.counts["hints_wrong"] += 1
             if generation == store.generation:
                 self._drop(now, store, name, record, 1)
 
@@ -464,7 +455,7 @@
         def note(row: object) -> None:
             if not isinstance(row, (list, tuple)) or len(row) != 3 or not isinstance(row[0], bytes):
                 raise RecordError("a need of another form")
-            field_name, at, need = row[0].decode(errors="replace"), _whole(row[1]), unpack(Need, row[2])
+            field_name, at, need = row[0].decode(errors="replace"), whole(row[1]), unpack(Need, row[2])
             if field_name != f"{need.process}|{need.key}":
                 raise RecordError("a need under another's name")
             oldest[need.key] = min((at, field_name, need), oldest.get(need.key, (at, field_name, need)),
@@ -485,7 +476,7 @@
         if made is None or store is None:
             return
         offer, piece = made
-        self.figures.add("pieces_lent")
+        self.counts["pieces_lent"] += 1
         need = offer.need
         op = ev.Grant(store.generation, offer.field, need.nonce, need.process, piece.amount, pack(piece))
         if store.trust is not Trust.SURE or store.gate is Gate.SHUT:
@@ -495,17 +486,17 @@
     def _handed(self, now: int, values: tuple[object, ...] | None, offer: Offer) -> None:
         """What the store has surely not handed on comes back; what is unknown stays lent until its end."""
         if not values:
-            self.figures.add("pieces_unknown")
+            self.counts["pieces_unknown"] += 1
             return
         self.loans.done(offer.need.nonce)
         if values[0] == b"not wanted" and now < offer.until:
-            self.figures.add("pieces_back")
+            self.counts["pieces_back"] += 1
             self._actions.append(ev.Tell(api.Borrow(offer.need.key, offer.amount, offer.until)))
 
     def _hear_piece(self, now: int, row: object) -> None:
         piece = unpack(Piece, row)
         amount, until = self.loans.take(now, piece)
-        self.figures.add("pieces_borrowed")
+        self.counts["pieces_borrowed"] += 1
         self._actions.append(ev.Tell(api.Borrow(piece.key, amount, until)))
 
     def _hear_suspect(self, now: int, row: object) -> None:
@@ -515,20 +506,9 @@
             raise RecordError("a suspicion of another form")
         listed = address in self._members and process != self.terms.incarnation
         if self.terms.suspicions and self.suspicions.hear(now, address, process, listed):
-            self.figures.add("suspicions_heard")
+            self.counts["suspicions_heard"] += 1
             self._actions.append(ev.Tell(api.Doubt(address)))
 
 
 def _nothing(now: int, asked: Asked, values: tuple[object, ...] | None) -> None:
     """Nothing follows."""
-
-
-def _digits(value: object) -> bool:
-    return isinstance(value, int) or (isinstance(value, bytes) and value.isdigit() and len(value) <= 18)
-
-
-def _whole(value: object) -> int:
-    """A whole number as stores word it."""
-    if not _digits(value):
-        raise RecordError(f"no number: {value!r:.40}")
-    return int(value)  # type: ignore[call-overload, no-any-return]
--- a/olivepost/sharing/events.py
+++ b/olivepost/sharing/events.py
@@ -197,6 +197,3 @@
     suspicions: bool = True
     trial_first: int = 100_000_000
     trial_most: int = 1_000_000_000
-
-
-
--- a/olivepost/sharing/host.py
+++ b/olivepost/sharing/host.py
@@ -16,13 +16,14 @@
 import redis
 
 from olivepost import interface as api
+from olivepost.config import MS, SECOND
 from olivepost.net.clock import Clock
 from olivepost.net.log import Log
 from olivepost.sharing import client
 from olivepost.sharing import events as ev
 from olivepost.sharing.core import Sharing
 from olivepost.sharing.scripts import read_reply
-from olivepost.sharing.settings import MS, SECOND, SharingSettings, Store
+from olivepost.sharing.settings import SharingSettings, Store
 
 TICK = 10 * MS
 BATCH = 64
@@ -162,7 +163,7 @@
     def figures(self) -> dict[str, object]:
         """Counts since the start, and how each store stands."""
         return {
-            "counts": dict(self.core.figures.counts),
+            "counts": dict(self.core.counts),
             "stores": {name: {"gate": store.gate.value, "trust": store.trust.value,
                               "generation": store.generation} for name, store in self.core.stores.items()},
         }
--- a/olivepost/sharing/records.py
+++ b/olivepost/sharing/records.py
@@ -93,6 +93,15 @@
     return record
 
 
+def whole(value: object) -> int:
+    """A whole number as stores word it, or RecordError."""
+    if isinstance(value, int):
+        return value
+    if not (isinstance(value, bytes) and value.isdigit() and len(value) <= 18):
+        raise RecordError(f"no number: {value!r:.40}")
+    return int(value)
+
+
 @dataclass(frozen=True, slots=True)
 class PurgeKey:
     """What a purge concerns: an object, or a group of them."""
--- a/olivepost/sharing/scripts.py
+++ b/olivepost/sharing/scripts.py
@@ -26,7 +26,7 @@
 from hashlib import sha1
 
 from olivepost.sharing import events as ev
-from olivepost.sharing.records import MOST_BYTES
+from olivepost.sharing.records import MOST_BYTES, RecordError, whole
 
 MOST_PURGES = 8_192  # a store keeps
 MOST_ROWS = 256  # needs, pieces, suspicions and purges of one sync
@@ -244,11 +244,10 @@
     """A store's answer as an event; what has another form is no answer."""
     if not isinstance(reply, Sequence) or isinstance(reply, (str, bytes)) or len(reply) < 2:
         return ev.Lost(ticket, f"a reply of another form: {reply!r:.60}")
-    numbers = [int(word) if _is_number(word) else -1 for word in reply[:2]]
-    if min(numbers) < 0:
+    try:
+        generation, serial = whole(reply[0]), whole(reply[1])
+    except RecordError:
+        generation = serial = -1
+    if min(generation, serial) < 0:
         return ev.Lost(ticket, f"a reply without its generation: {reply!r:.60}")
-    return ev.Reply(ticket, numbers[0], numbers[1], tuple(reply[2:]))
-
-
-def _is_number(word: object) -> bool:
-    return isinstance(word, int) or (isinstance(word, bytes) and word.isdigit() and len(word) <= 18)
+    return ev.Reply(ticket, generation, serial, tuple(reply[2:]))
--- a/olivepost/sharing/settings.py
+++ b/olivepost/sharing/settings.py
@@ -7,10 +7,10 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from olivepost.config import MS, SECOND
 from olivepost.operator.units import SPAN_SCHEMA, HostPort, span_within, write_span
 from olivepost.sharing.events import Terms
 
-MS, SECOND = 1_000_000, 1_000_000_000
 NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
 
 
--- a/tests/sharing/test_branch.py
+++ b/tests/sharing/test_branch.py
@@ -423,4 +423,4 @@
     later = front.clock(made.now) + 20 * SECOND
     actions = sharing.handle(later, ev.Ended(api.Settled("r1", "c0", 1)))
     assert not [a for a in actions if isinstance(a, ev.Command) and isinstance(a.op, ev.Settle)]
-    assert sharing.figures.counts["claims_outlived"] == 1
+    assert sharing.counts["claims_outlived"] == 1
--- a/tests/sharing/test_front.py
+++ b/tests/sharing/test_front.py
@@ -62,7 +62,7 @@
         return bool(held)
 
     def count(self, name: str) -> int:
-        return sum(front.stores.core.figures.counts.get(name, 0) for front in self.fronts if front.stores)
+        return sum(front.stores.core.counts.get(name, 0) for front in self.fronts if front.stores)
 
     def ask(self, front: int, name: str, **more: Any) -> int:
         with Client(self.addresses[front]) as client:
