--- a/benchmarks/branch.py
+++ b/benchmarks/branch.py
@@ -76,8 +76,8 @@
     def __init__(self, branch: Branch, number: int) -> None:
         self.branch, self.number = branch, number
         self.life = 0
-        self.offset = branch.draw.randrange(-2 * SECOND, 2 * SECOND) if branch.skewed_clocks else 0
-        self.rate = 1 + branch.draw.uniform(-RATE_MOST, RATE_MOST) if branch.skewed_clocks else 1.0
+        self.offset = branch.draw.randrange(-2 * SECOND, 2 * SECOND)
+        self.rate = 1 + branch.draw.uniform(-RATE_MOST, RATE_MOST)
         self.paused_until = 0
         self.begin()
 
@@ -155,7 +155,7 @@
         self, settings: api.Settings, fronts: int, seed: int, sharing: bool = True, stores: int = 1,
         caches: int = 8, names: int = 2_000, room: int = 150, skew: float = 0.9, groups: int = 16,
         link: float = 4.0, late: int = 10 * MS, sync: int = 50 * MS,
-        fill: tuple[int, int] = (60 * MS, 400 * MS), skewed_clocks: bool = True, size: float = 50.0,
+        fill: tuple[int, int] = (60 * MS, 400 * MS), size: float = 50.0,
         **terms: Any,
     ) -> None:
         self.draw, self.settings, self.sharing, self.terms = random.Random(seed), settings, sharing, terms
@@ -172,7 +172,7 @@
         self.groups = groups
         self.purges: dict[int, int] = {}  # by group, as the origin tells it
         self.claims: dict[tuple[str, str], tuple[int, int, int]] = {}  # the last of each name, for the audit
-        self.skewed_clocks, self.size = skewed_clocks, size
+        self.size = size
         self.fronts = [Front(self, number) for number in range(fronts)]
 
     def now_ms(self) -> int:
@@ -207,14 +207,14 @@
 
     # Requests and caches
 
-    def request(self, front: Front, name: str | None = None, class_name: str = "image") -> None:
+    def request(self, front: Front, name: str | None = None) -> None:
         """A client asks a front."""
         if front.paused_until > self.now:
             return
         name = name or self.draw.choices(self.names, cum_weights=self.weights)[0]
         self.counts.requests += 1
-        spec = self.settings.classes[class_name]
-        request = api.Request(f"r{self.counts.requests}", class_name, name, spec.deadline, self.size,
+        spec = next(iter(self.settings.classes.values()))
+        request = api.Request(f"r{self.counts.requests}", spec.name, name, spec.deadline, self.size,
                               int(name, 16) % self.groups)
         front.requests[request.id] = request
         front.do_router(request)
@@ -437,16 +437,6 @@
             at += s.fall_window // 4
         return sent, whole
 
-    def over_whole(self, name: str) -> int:
-        """Windows, one from each send, in which a cold cache got more than the whole budget."""
-        s, cache, over = self.settings, self.caches[name], 0
-        for start, _ in cache.work:
-            age = start - cache.started
-            if age < s.caches.warm_within:
-                inside = sum(work for when, work in cache.work if start <= when < start + s.fall_window)
-                over += inside > self._whole(cache, age) * 1.001
-        return over
-
     def _whole(self, cache: Cache, age: int) -> float:
         tier, window = self.settings.caches, self.settings.fall_window
         share = tier.cold_from + (1 - tier.cold_from) * age / tier.warm_within
