Settings: spans and shares checked by name, odd limits defaulted, short deadlines kept

Need: the fronts run with other customers' settings. Read through read_settings and read_bounds with such settings at hand. Seen: int(None) and str() of whatever stood in a list ended the start with a traceback; a class twice, a deadline of 0 or a share of 7 were taken; a class name that can't stand in a request started a front that answers 404 to all; attempts-cap 0 refused every request; TURN (100 ms) took all of a 100 ms deadline and half of a 200 ms one.

--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -22,7 +22,9 @@
 # What a front with a full core may need from a request's last byte to its reader, and from the module's word
 # to the client's last byte. The module gives up so long before a deadline; without it a burst of connections
 # made final answers come too late. Hurts answers in the last tenth of a second, which are late anyhow.
-TURN = 100 * MS
+# Where a class's whole deadline is short, a share of that: a front must not give up most of it.
+TURN, TURN_SHARE = 100 * MS, 8
+FOREVER = 1 << 62  # ns: the longest span that a key may hold
 
 EFFECTS = {
     "read_like": api.Effect.SAFE,
@@ -34,6 +36,7 @@
     "terminating": api.State.DRAINING,
     "terminated": api.State.GONE,
 }
+PLAIN = re.compile(r"[!#-*\-.0-9:-<>-~]{1,200}", re.ASCII)  # a class's name, in a target and in a field
 ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})", re.ASCII)
 
 
@@ -61,7 +64,11 @@
         return value
 
     def whole(self, key: str, default: int | None = None) -> int:
-        return int(self._get(key, (int,), default))
+        """A whole number, also where it is written with a point."""
+        value = self._get(key, (int, float), default)
+        if value != int(value):
+            raise FieldError(f"{self.where} has a wrong '{key}': {value:g} is not whole")
+        return int(value)
 
     def number(self, key: str, default: float | None = None) -> float:
         return float(self._get(key, (int, float), default))
@@ -75,6 +82,12 @@
     def items(self, key: str) -> list[Any]:
         return list(self._get(key, (list,), []))
 
+    def at(self, key: str, index: int) -> Fields:
+        """One place of a list, as a field of its own by the list's name; empty where the list is shorter."""
+        values = self.items(key)
+        known = 0 <= index < len(values)
+        return Fields(f"{self.where}.{key}[{index}]", {key: values[index]} if known else {})
+
     def inner(self, key: str) -> Fields:
         return Fields(f"{self.where}.{key}", self._get(key, (dict,), {}))
 
@@ -90,6 +103,13 @@
             raise FieldError(f"{self.where} has a wrong '{key}': {value:g} is not from {least:g} to {most:g}")
         return value
 
+    def span(self, key: str, default: int | None = None, least: int = 0) -> int:
+        """Whole nanoseconds."""
+        value = self.whole(key, default)
+        if not least <= value <= FOREVER:
+            raise FieldError(f"{self.where} has a wrong '{key}': {value} is not from {least} to {FOREVER}")
+        return value
+
     def address(self, key: str, default: str | None = None) -> Address:
         try:
             return read_address(self.text(key, default))
@@ -112,67 +132,69 @@
     """Reads the settings; keys this page does not use are skipped."""
     info = Fields("settings", data)
     family, limits, contract = info.inner("family-info"), info.inner("limits"), info.inner("contract")
-    kinds, zones, zone = info.items("kinds"), info.items("failure-domains"), info.text("zone")
+    zones, zone = info.items("failure-domains"), info.text("zone")
     fronts = info.whole("siblings", 1)
-
-    def at(values: list[Any], index: int, default: Any) -> Any:
-        return values[index] if 0 <= index < len(values) else default
-
     classes: dict[str, api.ClassSettings] = {}
     for index, item in enumerate(info.items("classes")):
         row = Fields(f"classes[{index}]", item)
         name = row.text("name")
+        if name in classes:
+            raise FieldError(f"{row.where} has a wrong 'name': {name} is there twice")
+        deadline = row.span("deadline", least=1)
         classes[name] = api.ClassSettings(
             name=name,
-            aim=row.whole("aim", row.whole("deadline")),
-            aim_stretch=row.number("aim-stretch", 0.0),
-            deadline=row.whole("deadline"),
+            aim=row.span("aim", deadline),
+            aim_stretch=row.within("aim-stretch", 0, 1e6, 0.0),
+            deadline=deadline,
             effect=row.word("effect", EFFECTS),
             scope=row.word("group", {scope.value: scope for scope in api.Scope}, "all"),
-            window=row.whole("window", 0),
+            window=row.span("window", 0),
             streaming=row.flag("streaming"),
-            worth=row.number("gain", 1.0),
+            worth=row.within("gain", 0, 1e12, 1.0),
             late_worth=row.number("late-worth", 0.0),
-            fresh=int(at(family.items("max-age"), index, 0)),
-            grace=int(at(family.items("usable-after"), index, 0)),
-            stale_worth=float(at(family.items("class-stale-worth"), index, 0.0)),
-            uncacheable=bool(at(family.items("pass-on"), index, False)),
+            fresh=family.at("max-age", index).span("max-age", 0),
+            grace=family.at("usable-after", index).span("usable-after", 0),
+            stale_worth=family.at("class-stale-worth", index).number("class-stale-worth", 0.0),
+            uncacheable=family.at("pass-on", index).flag("pass-on"),
         )
     place = zones.index(zone) if zone in zones else -1
+    places = (family.whole("parent-kind", -1), family.whole("store-kind", -1))
+    kind = [info.at("kinds", at).text("kinds", "") for at in places]
+    own = family.at("zone-balancers", place).whole("zone-balancers", fronts)
     return api.Settings(
         classes=classes,
         zone=zone,
         caches=api.Tier(
-            fronts=max(1, int(at(family.items("zone-balancers"), place, fronts))),
-            cold_from=contract.number("cold-from", 0.0),
+            fronts=max(1, own),
+            cold_from=contract.within("cold-from", 0, 1, 0.0),
             warm_within=max(1, contract.whole("warm-within", 0)),
-            fall_multiple=contract.number("fall-multiple", 0.0),
+            fall_multiple=contract.within("fall-multiple", 0, 1e6, 0.0),
         ),
         parents=api.Tier(
             fronts=max(1, fronts),
-            cold_from=family.number("parent-floor", 0.0),
+            cold_from=family.within("parent-floor", 0, 1, 0.0),
             warm_within=max(1, family.whole("parent-cold", 0)),
-            fall_multiple=family.number("parent-breaks-at", 0.0),
+            fall_multiple=family.within("parent-breaks-at", 0, 1e6, 0.0),
         ),
-        parent_kind=str(at(kinds, family.whole("parent-kind", -1), "")),
-        origin_kind=str(at(kinds, family.whole("store-kind", -1), "")),
+        parent_kind=kind[0],
+        origin_kind=kind[1],
         weights_told=info.text("weights", "off") != "off",
-        pace_kb_per_s=family.number("pace-kb-per-s", 0.0),
+        pace_kb_per_s=family.within("pace-kb-per-s", 0, 1e12, 0.0),
         can_join=family.flag("can-join"),
         direct=family.flag("direct"),
         siblings_as_source=family.text("lateral", "off"),
         tells_hits=family.text("tells", "off") != "off",
         tells_causes=family.text("tells", "off") == "all",
-        purge_done=family.whole("gone-everywhere", 0),
-        fall_window=contract.whole("fall", 0),
+        purge_done=family.span("gone-everywhere", 0),
+        fall_window=contract.span("fall", 0),
         ask_for_list=info.text("registry-mode", "push") == "ask",
-        ask_within=contract.whole("ask-within", 0),
-        max_attempts=limits.whole("attempts-cap", 1),
+        ask_within=contract.span("ask-within", 0),
+        max_attempts=max(1, limits.whole("attempts-cap", 1)),
         may_cancel=limits.flag("cancel"),
         second_copies=limits.flag("second-copies"),
         retry_after=limits.flag("retry-after"),
-        max_retry_after=limits.whole("max-retry-after", 0),
-        tick=info.whole("tick", 0),
+        max_retry_after=limits.span("max-retry-after", 0),
+        tick=info.span("tick", 0),
     )
 
 
@@ -245,7 +267,7 @@
     told, links = top.inner("limits"), settings.inner("limits")
     memory, sockets = told.within("memory_mb", 16, 1 << 20, 192), told.within("sockets", 64, 1 << 20, 1024)
     idle = links.within("conn-idle", 0, 3_600 * SECOND, 30 * SECOND)
-    streams = int(links.within("max-streams", 1, 1 << 16, 32))
+    streams = int(links.within("max-streams", 0, 1 << 16, 32)) or 32  # here and below, 0: not told
     size = BUFFER_SIZE if memory >= 128 else BUFFER_SIZE // 2 if memory >= 48 else BUFFER_SIZE // 4
     spare = max(LEAST_SPARE, int(memory) * 9 // 10 - PROGRAM - TABLES) * 1_048_576
     places = spare // 2 // (PLACE + size)
@@ -266,7 +288,7 @@
         links=most_links,
         all_links=all_links,
         streams=streams,
-        connect=int(links.within("connect-timeout", 1, 60 * SECOND, 400 * MS)),
+        connect=int(links.within("connect-timeout", 0, 60 * SECOND, 400 * MS)) or 400 * MS,
         idle=int(idle) or 30 * SECOND,
     )
 
@@ -301,10 +323,13 @@
         address = top.address("listen")
     settings = read_settings(top.data.get("settings"))
     flow, link = top.within("flow_bytes_per_s", 0, 1e15, 0), top.within("link_bytes_per_s", 0, 1e15, 0)
-    tick = max(settings.tick, TURN)
-    settings = replace(settings, own_transfers=link / flow if flow else 0.0, tick=tick)
     if not settings.classes:
         raise FieldError("settings lacks 'classes'")
+    if odd := next((name for name in settings.classes if not PLAIN.fullmatch(name)), None):
+        raise FieldError(f"settings has a wrong 'classes': the name {odd[:80]!r} can't stand in a request")
+    shortest = min(spec.deadline for spec in settings.classes.values())
+    tick = max(settings.tick, min(TURN, shortest // TURN_SHARE))
+    settings = replace(settings, own_transfers=link / flow if flow else 0.0, tick=tick)
     return Config(
         name=environment.get("BALANCER_NAME") or top.text("name", "front"),
         listen=address,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -60,6 +60,9 @@
     assert config.bounds.clients < 256 // 2
 
 
+READ = {"name": "a", "deadline": 1_000_000_000, "effect": "read_like"}
+
+
 @pytest.mark.parametrize(("changes", "key"), [
     ({"listen": "here"}, "listen"),
     ({"listen": "127.0.0.1:99999"}, "listen"),
@@ -77,6 +80,17 @@
     ({"settings": {"classes": [{"name": "a", "deadline": 1, "effect": "read_like"}]}}, "zone"),
     ({"settings": {"zone": "x", "classes": [{"name": "a", "deadline": 1, "effect": "odd"}]}}, "effect"),
     ({"name": 3}, "name"),
+    ({"settings": {"zone": "x", "classes": [{**READ, "deadline": 0}]}}, "deadline"),
+    ({"settings": {"zone": "x", "classes": [{**READ, "deadline": 1.5}]}}, "deadline"),
+    ({"settings": {"zone": "x", "classes": [{**READ, "aim": -1}]}}, "aim"),
+    ({"settings": {"zone": "x", "classes": [{**READ, "gain": -1}]}}, "gain"),
+    ({"settings": {"zone": "x", "classes": [READ, READ]}}, "name"),
+    ({"settings": {"zone": "x", "classes": [{**READ, "name": "two words"}]}}, "classes"),
+    ({"settings": {"zone": "x", "classes": [{**READ, "group": "odd"}]}}, "group"),
+    ({"settings": {"zone": "x", "classes": [READ], "family-info": {"max-age": ["long"]}}}, "max-age"),
+    ({"settings": {"zone": "x", "classes": [READ], "family-info": {"zone-balancers": [[]]},
+                   "failure-domains": ["x"]}}, "zone-balancers"),
+    ({"settings": {"zone": "x", "classes": [READ], "contract": {"cold-from": 7}}}, "cold-from"),
     ({"flow_bytes_per_s": -1}, "flow_bytes_per_s"),
 ])
 def test_a_fault_names_its_key(changes: dict[str, Any], key: str) -> None:
@@ -98,3 +112,22 @@
     path.write_text("{")
     with pytest.raises(FieldError, match="not JSON"):
         load({}, str(path))
+
+
+def test_odd_settings_that_have_a_meaning_are_taken() -> None:
+    """Zero and missing limits, thirty classes, whole numbers with a point, a class that earns nothing."""
+    classes = [{**READ, "name": f"c{number}", "gain": number, "aim": 0} for number in range(30)]
+    limits = {"attempts-cap": 0, "max-streams": 0, "connect-timeout": 0, "conn-idle": 0}
+    for given in (limits, {}):
+        settings = {"zone": "x", "classes": classes, "limits": given, "contract": {"fall": 2e9}}
+        config = read_config(toy_config(settings=settings), {})
+        assert len(config.settings.classes) == 30 and config.settings.max_attempts == 1
+        assert config.settings.fall_window == 2_000_000_000
+        assert config.bounds.streams == 32 and config.bounds.connect == 400_000_000
+
+
+@pytest.mark.parametrize("deadline_ms", [40, 200, 5_000])
+def test_a_short_deadline_is_not_mostly_given_up(deadline_ms: int) -> None:
+    spec = {**READ, "deadline": deadline_ms * 1_000_000}
+    config = read_config(toy_config(settings={"zone": "x", "classes": [spec]}), {})
+    assert 0 < config.settings.tick <= deadline_ms * 1_000_000 // 8
