Where one attempt may be out, the next waits until the one before is given up

Ruled out: a link's end, a late answer, a client's repeat (new ids). Faulty lines: Engine._do hands the abort to the old link's queue and the new call to another link's; two threads write them in any order (servers.py abort, _write). Besides, Link._end told of its calls before it shut the connection, whose end is what gives them up. Change: without second copies an abort that has to be written is told of when it is (`Aborted`, also by the link's end), and the next attempt waits for that, taken back if its cache drains or its object is purged meanwhile; a link's connection is shut before its calls are told of. Where second copies are allowed nothing waits, as before.

--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import queue
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from typing import Protocol
@@ -20,7 +21,7 @@
 from olivepost.net.frames import command
 from olivepost.net.log import Log
 from olivepost.net.registry import Heard, Told
-from olivepost.net.servers import Call, Ended, Servers, Unsent, fetch_fields
+from olivepost.net.servers import Aborted, Call, Ended, Servers, Unsent, fetch_fields
 
 LATE_TIMER = 5 * MS  # a timer that fires later than this is counted
 MOST_DELAYS = 100_000
@@ -61,11 +62,13 @@
     exchange: Exchange
     copy: Kept | None = None  # of the front's own, when the request came
     calls: dict[int, Call] = field(default_factory=dict)
+    aborting: int = 0  # attempts that are given up and may still be out, where only one may be
+    next: Call | None = None  # what waits for that
     sends: int = 0
     issued: int = 0  # of its answer
 
 
-Posted = Arrived | Left | Ended | Unsent | Told | Heard | Advised | Ending | Stop
+Posted = Arrived | Left | Ended | Unsent | Aborted | Told | Heard | Advised | Ending | Stop
 
 
 class Engine:
@@ -73,6 +76,7 @@
 
     def __init__(self, router: Router, clock: Clock, log: Log, copies: Copies, flow: float) -> None:
         self._router, self._clock, self._log, self._copies, self._flow = router, clock, log, copies, flow
+        self._alone = not router.settings.second_copies  # two attempts of a request are never out together
         self._heard = 0  # when the coordinator was last heard
         self._servers: Servers
         self._stores: Stores | None = None
@@ -167,7 +171,7 @@
         heappush(self._timers, (self._clock.now() + delay, self._serial, token, calls))
 
     def _take(
-        self, now: int, event: Arrived | Left | Ended | Unsent | Told | Heard | Advised | Ending
+        self, now: int, event: Arrived | Left | Ended | Unsent | Aborted | Told | Heard | Advised | Ending
     ) -> None:
         match event:
             case Arrived():
@@ -181,6 +185,8 @@
                 if held and held.calls.get(event.call.number) is event.call:
                     event.call.moved = True
                     self._servers.send(event.call)
+            case Aborted():
+                self._go_on(event.call.exchange)
             case Heard():
                 self._heard = now
             case Ending():
@@ -228,7 +234,7 @@
             purge = event.what
             self._copies.purge(purge.object, purge.group, now - purge.age)
             self._do(self._router.handle(now, purge))
-            back = self._servers.withdraw(
+            back = self._withdraw(
                 lambda call: call.exchange.object == purge.object
                 if purge.object
                 else call.exchange.group == purge.group
@@ -237,10 +243,28 @@
             self._servers.update(event.places, event.what.kind is not api.ListKind.CHANGES)
             self._do(self._router.handle(now, event.what))
             closed = {place.id for place in event.places if place.state is not api.State.READY}
-            back = self._servers.withdraw(lambda call: bool(closed & {call.cache, call.source}))
+            back = self._withdraw(lambda call: bool(closed & {call.cache, call.source}))
         for call in back:
             self._ended(now, Ended(call, api.Status.NEVER_SENT, now))
 
+    def _withdraw(self, concerns: Callable[[Call], bool]) -> list[Call]:
+        """Takes back calls that nobody has begun to write."""
+        waiting = [held for held in self._held.values() if held.next is not None and concerns(held.next)]
+        back = [held.next for held in waiting if held.next is not None]
+        for held in waiting:
+            held.next = None
+        return back + self._servers.withdraw(concerns)
+
+    def _go_on(self, exchange: Exchange) -> None:
+        """An attempt is no longer out: what waits for that may go."""
+        held = self._held.get(exchange.id)
+        if held is None or held.exchange is not exchange:
+            return
+        held.aborting -= 1
+        call, held.next = held.next, held.next if held.aborting else None
+        if call is not None and not held.aborting and held.calls.get(call.number) is call:
+            self._servers.send(call)
+
     def _timed_out(self, now: int, timer: int) -> None:
         call = self._calls.get(timer)
         if call is not None:
@@ -297,8 +321,8 @@
                     call = held.calls.pop(action.attempt, None) if held else None
                     if call is not None:
                         self._calls.pop(call.timer, None)
-                        if call.link is not None:
-                            call.link.abort(call)
+                        if call.link is not None and held is not None:
+                            held.aborting += call.link.abort(call, self._alone and action.id in self._held)
                 case api.Refuse() | api.Fail():
                     held = self._held.get(action.id)
                     if invariants.check(held is not None, "final_answer_is_owed") and held is not None:
@@ -347,4 +371,7 @@
         call.timer = self._serial
         self._calls[call.timer] = call
         self._after(fetch.timeout, call.timer, True)
-        self._servers.send(call)
+        if held.aborting:
+            held.next = call
+        else:
+            self._servers.send(call)
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -92,6 +92,13 @@
     shared: bool = False
 
 
+@dataclass(slots=True)
+class Aborted:
+    """A call that was being given up is given up: its abort is written, or its link has ended."""
+
+    call: Call
+
+
 @dataclass(slots=True)
 class Unsent:
     """A call whose link broke before its first byte was written: to be sent on another."""
@@ -139,7 +146,7 @@
     rooms: Pool  # to read into
     clock: Clock
     log: Log
-    post: Callable[[Ended | Unsent], None]
+    post: Callable[[Ended | Unsent | Aborted], None]
 
 
 class Link:
@@ -147,7 +154,8 @@
 
     def __init__(self, tools: Tools, place: Place) -> None:
         self._tools, self._place = tools, place
-        self._orders: queue.SimpleQueue[Call | bytes | None] = queue.SimpleQueue()
+        self._orders: queue.SimpleQueue[Call | Aborted | bytes | None] = queue.SimpleQueue()
+        self._aborts: list[Aborted] = []  # that are to be told of, and are not written yet
         self._lock = threading.Lock()
         self._calls: dict[str, Call] = {}
         self._past: dict[str, None] = {}  # ids that were open here
@@ -185,16 +193,31 @@
         self._orders.put(call)
         return True
 
-    def abort(self, call: Call) -> None:
-        """Gives a call up: one not begun is not written, one written is followed by an abort."""
+    def abort(self, call: Call, tells: bool = False) -> bool:
+        """Gives a call up: one not begun is not written, one written is followed by an abort.
+
+        With `tells`, whether an `Aborted` will follow; until then the member may still be at it.
+        """
         with self._lock:
             if self._calls.get(call.exchange.id) is not call:
-                return
+                return False
             written = call.stage is Stage.WRITING
             self._close(call)
             call.drop_body()
-        if written:
-            self._orders.put(command("abort", call.exchange.id))
+            if written:
+                aborted = Aborted(call)
+                self._aborts += [aborted] * tells
+                self._orders.put(aborted)
+        return written and tells
+
+    def _given_up(self, aborted: Aborted) -> None:
+        """Tells of an abort, once, if anybody waits for that."""
+        with self._lock:
+            told = aborted in self._aborts
+            if told:
+                self._aborts.remove(aborted)
+        if told:
+            self._tools.post(aborted)
 
     def _close(self, call: Call) -> None:
         """The call is over here; with the lock held."""
@@ -285,6 +308,9 @@
                     continue
                 self._send(sock, order.frame, order)
                 order.frame = b""  # a request that waits for its answer needs it no more
+            elif isinstance(order, Aborted):
+                self._send(sock, command("abort", order.call.exchange.id), None)
+                self._given_up(order)
             else:
                 self._send(sock, order, None)
 
@@ -437,13 +463,22 @@
             self._tools.log.event("link_broken", member=self._place.id, why=why, open=self.open)
 
     def _end(self) -> None:
-        """Ends the link, once, and tells what became of the calls that were open on it."""
+        """Ends the link, once, and tells what became of the calls that were open on it.
+
+        The connection first: its end gives up all that is open there, and what is told here may be sent
+        elsewhere at once, where two attempts of a request must not be out together.
+        """
+        if self._sock is not None:
+            sockets.hang_up(self._sock)
         with self._lock:
             self.over = True
+            aborts = list(self._aborts)
             calls, self._calls = list(self._calls.values()), {}
             self._past.clear()
             for call in calls:
                 call.stage = Stage.OVER
+        for aborted in aborts:
+            self._given_up(aborted)
         now, shared = self._tools.clock.now(), False
         for call in calls:
             call.drop_body()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -371,6 +371,96 @@
         assert len(made.fetches()) == 1
 
 
+def one_at_a_time(**changes: Any) -> dict[str, Any]:
+    """The example's settings where two attempts of a request may not be out together."""
+    settings: dict[str, Any] = toy_config()["settings"]
+    return {**settings, "limits": {**settings["limits"], "second-copies": False}, **changes}
+
+
+class Slow:
+    """The cache that is asked first says that it lives, and answers nothing."""
+
+    def __init__(self) -> None:
+        self.first = ""
+
+    def __call__(self, member: Member, command: Command) -> None:
+        if command.verb == "fetch":
+            self.first = self.first or member.id
+        if command.verb == "alive" or member.id != self.first:
+            serve_all(member, command)
+
+
+@pytest.mark.parametrize("how", ["abort", "end"])
+def test_the_next_attempt_goes_once_the_one_before_is_given_up(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An abort waits in its link's queue while another link's thread runs; a link's end gives up too."""
+    gate, send, slow = threading.Event(), Link._send, Slow()
+
+    def late(self: Link, sock: socket.socket, data: bytes, call: Any) -> None:
+        if data.startswith(b"abort"):
+            gate.wait(WITHIN)
+            if how == "end":
+                raise ConnectionError("reset by the member")
+        send(self, sock, data, call)
+
+    monkeypatch.setattr(Link, "_send", late)
+    with rig(slow, settings=one_at_a_time()) as made, made.client() as client:
+        client.send(Client.request(patience=15_000))
+        held = made.front.engine._held
+        assert made.until(lambda: any(it.next is not None for it in list(held.values())))
+        assert {member.id for member in made.caches if member.seen()} == {slow.first}
+        gate.set()
+        assert client.read()[0] == 200
+
+
+def test_what_waits_for_an_abort_is_taken_back_when_its_cache_drains(monkeypatch: pytest.MonkeyPatch) -> None:
+    gate, send, slow = threading.Event(), Link._send, Slow()
+
+    def late(self: Link, sock: socket.socket, data: bytes, call: Any) -> None:
+        if data.startswith(b"abort"):
+            gate.wait(WITHIN)
+        send(self, sock, data, call)
+
+    monkeypatch.setattr(Link, "_send", late)
+    with rig(slow, settings=one_at_a_time()) as made, made.client() as client:
+        client.send(Client.request(patience=15_000))
+        held = made.front.engine._held
+        assert made.until(lambda: any(it.next is not None for it in list(held.values())))
+        other = next(member for member in made.caches if member.id != slow.first)
+        rows = [{**row, "state": "terminating"} for row in made.entries if row["id"] == other.id]
+        made.coordinator.add(endpoints={"version": 2, "full": False, "servers": rows})
+        assert made.outcomes("NEVER_SENT", 1)
+        gate.set()
+        assert client.read()[0] in (200, 503) and not other.seen()
+
+
+def test_a_link_is_ended_before_its_calls_are_told_of() -> None:
+    """What is told of may be sent elsewhere at once: the old attempt must not be out any more."""
+    asked = threading.Event()
+
+    def reply(member: Member, command: Command) -> None:
+        if not asked.is_set():
+            asked.set()
+            command.sock.sendall(b"\0 nonsense\r\n")
+        else:
+            serve_all(member, command)
+
+    with rig(reply, settings=one_at_a_time()) as made, made.client() as client:
+        tools, ended = made.front.servers._tools, list[bool]()
+        post = tools.post
+
+        def noted(event: Any) -> None:
+            if isinstance(event, servers.Ended) and event.status is api.Status.BROKEN_OFF:
+                assert event.call.link is not None and event.call.link._sock is not None
+                ended.append(sockets.ended(event.call.link._sock))
+            post(event)
+
+        tools.post = noted
+        assert client.ask()[0] == 200
+        assert ended == [True]
+
+
 def test_only_the_copy_that_the_client_named_is_called_current() -> None:
     """A cache that names another copy, or none, has not said that the client's holds."""
     names = iter(["other", ""])
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import ast
 import sys
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -35,3 +36,9 @@
 
 def test_deploy_file_names_only_the_module() -> None:
     assert 'policy = ["olivepost/choice.py"]' in (ROOT / "deploy" / "balancer.toml").read_text()
+
+
+def test_what_run_imports_is_compiled_by_build() -> None:
+    """The platform's files can't be written: each start would compile all modules anew, on part of a core."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert " -O " in deploy["run"] and "-O -m compileall -q olivepost" in deploy["build"]
