Classes that write: PUT goes on with its body and key, and large bodies have bounded room

A trial on a scratch copy that logged method and headers: all of them are PUT, with a body of 0.7 to 16 KB and more (413 four times) and X-Dedupe-Key. Ruled out: the origin, patience, tenants. Faulty lines: clients.py `_route` (only GET), Bounds.request_body (16 KB), and fetch_fields, which had no key to pass. Change: PUT is taken where `pass-on` says that the class is written, its body goes on, the key as `dedupe`; such a request joins no fill and is answered from no copy. Bodies over 16 KB take room of a bounded whole, set aside only where a class writes; frames are made by the link, not held while calls wait. Notes of caches that tell causes have their words.

--- a/olivepost/choice.py
+++ b/olivepost/choice.py
@@ -487,9 +487,8 @@
         dear = pressure and pressure.refuses(self._own(held) / (spec.worth or 1.0), bool(request.size_kb))
         if cache is None or spent or dear or not self._may_repeat(now, held, cache):
             return self._give_up(held)
-        source = source or cache
         # Departure: what others keep or fill is not filled again; asked for a new name, and before its fill.
-        asks = 2 if source != cache else 1
+        asks = 2 if (source := source or cache) != cache else 1
         if self._up and held.rank and not hint and not held.asked & asks and (
             (held.left is None and not held.sends) or (asks == 2 and (held.missed or not spec.fresh))):
             wait = max(0, min(s.store_wait, int(STORE_SHARE * left)) - held.waited)
@@ -500,6 +499,7 @@
         held.hinted = cache if hint and hint.cache == cache else ""
         self._retries -= price
         renew, troubled = spec.fresh > 0 and source != cache, held.sends or self._members[source].until
+        join = s.can_join and held.rank > 0  # what is never kept has a fill of its own, and writes theirs
         age = spec.fresh + spec.grace * bool(troubled) if spec.fresh else 0
         age = min(age or bound, bound) if (bound := self._purges.oldest(now, request)) else age
         for sent_to in (self._members[address] for address in {cache: 0, source: 0}):
@@ -509,7 +509,7 @@
         attempt = held.out[held.sends] = Attempt(held.sends, cache, source, now)
         held.sends += 1
         by = held.ran[0][0] + spec.window - s.tick if held.ran and spec.effect is api.Effect.KEYED else 0
-        self._actions += [api.Fetch(request.id, cache, source, held.rank, left, age, s.can_join, renew, by)]
+        self._actions += [api.Fetch(request.id, cache, source, held.rank, left, age, join, renew, by)]
         patience = self._patience(held)
         self._after(patience, lambda then: self._look(then, held, attempt, patience), held)
 
--- a/olivepost/config.py
+++ b/olivepost/config.py
@@ -24,6 +24,7 @@
 # made final answers come too late. Hurts answers in the last tenth of a second, which are late anyhow.
 # Where a class's whole deadline is short, a share of that: a front must not give up most of it.
 TURN, TURN_SHARE = 100 * MS, 8
+OBJECT, SMALL_BODY = 240_000, 16_384  # bytes of an object at most, of a request's body that needs no room
 FOREVER = 1 << 62  # ns: the longest span that a key may hold
 
 EFFECTS = {
@@ -211,9 +212,11 @@
     bodies: int  # buffers for bodies; apart, so that peers who hold bodies can't make the front deaf
     copies: int  # of these, for copies of the front's own
     buffer_size: int
+    large_bodies: int  # bytes of all request bodies beyond the small ones; 0 where no class writes
+    request_body: int  # of a request: an object's size where a class writes
     head_size: int = 8_192  # of a request's line and headers
-    request_body: int = 16_384  # of a request; objects are not sent here
-    body_size: int = 240_000  # of an object
+    small_body: int = SMALL_BODY  # that any connection may hold
+    body_size: int = OBJECT
     stack_size: int = 262_144
     streams: int = 32  # attempts on one link
     connect: int = 400 * MS
@@ -276,7 +279,10 @@
     most_links = max(3, min(int(sockets) // 16, -(-clients // streams) + 2))
     all_links = min(int(sockets) * 3 // 8, places - clients)
     readers = clients + all_links
-    bodies = max(LEAST_BODIES, min(8_192, (spare - readers * (PLACE + size)) * 4 // 5 // size))
+    left = spare - readers * (PLACE + size)
+    writes = any(settings.inner("family-info").items("pass-on"))
+    large = max(2 * OBJECT, left // 5) if writes else 0  # each may be held twice, for a moment
+    bodies = max(LEAST_BODIES, min(8_192, (left - 2 * large) * 4 // 5 // size))
     return Bounds(
         memory_mb=int(memory),
         sockets=int(sockets),
@@ -285,6 +291,8 @@
         bodies=bodies,
         copies=bodies * 2 // 3,
         buffer_size=size,
+        large_bodies=large,
+        request_body=OBJECT if writes else SMALL_BODY,
         links=most_links,
         all_links=all_links,
         streams=streams,
--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -13,9 +13,10 @@
 import re
 import socket
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Mapping
 
 from olivepost.config import MS, SECOND, Address, Bounds
+from olivepost.interface import ClassSettings
 from olivepost.net import http1, sockets
 from olivepost.net.buffers import Pool
 from olivepost.net.clock import Clock
@@ -28,6 +29,7 @@
 CALL_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
 PATIENCE = re.compile(r"[0-9]{1,9}", re.ASCII)
 GROUP = re.compile(r"[0-9]{1,3}", re.ASCII)
+DEDUPE = re.compile(r"[!#-*\-.0-9:;<>-~]{1,128}", re.ASCII)
 STRONG_TAG = re.compile(r'"([!#-+\--<>-~]{1,128})"', re.ASCII)  # that a field on the members' wire can hold
 LINGER = 1 * SECOND  # for the client's end after ours, so that a reset does not overtake the answer
 STOP_WITHIN = 1.0  # seconds
@@ -43,7 +45,7 @@
     """Accepts connections and keeps count of them."""
 
     def __init__(
-        self, bounds: Bounds, classes: Collection[str], rooms: Pool, clock: Clock, log: Log,
+        self, bounds: Bounds, classes: Mapping[str, ClassSettings], rooms: Pool, clock: Clock, log: Log,
         post: Callable[[Arrived | Left], None],
     ) -> None:
         self.bounds, self.classes, self.rooms, self.clock, self.log, self.post = (
@@ -57,6 +59,7 @@
         self._open: set[Connection] = set()
         self._acceptor: threading.Thread | None = None
         self._stopping = False
+        self._large = 0  # bytes of large request bodies that are held
         self.peak = 0
 
     @property
@@ -158,6 +161,18 @@
             self._open.discard(connection)
         self._room.release()
 
+    def hold(self, size: int) -> bool:
+        """Whether there is room for a large request body; if so it is taken until `let_go`."""
+        with self._lock:
+            fits = self._large + size <= self.bounds.large_bodies
+            self._large += size * fits
+        return fits
+
+    def let_go(self, size: int) -> None:
+        """A large request body is held no more."""
+        with self._lock:
+            self._large -= size
+
     def drain(self) -> None:
         """From now on every answer ends its connection."""
         self.draining = True
@@ -235,6 +250,7 @@
         self._lock = threading.Lock()
         self._parser = http1.Parser(side.bounds.head_size, side.bounds.request_body)
         self._exchange: Exchange | None = None
+        self._large = 0  # bytes of its request's body for which it has taken room
         self._keeps = True  # what the request in hand says of the connection
         self._closes = False  # what the answer in hand says of it
         self._ending = False  # our last answer has gone out, or none will
@@ -360,6 +376,7 @@
         sockets.hang_up(self._sock)  # wakes a writer that waits for this client
         with self._lock:
             exchange, self._exchange = self._exchange, None
+            self._let_go()
             self._sock.close()
         if exchange is not None:
             self._side.post(Left(exchange))
@@ -372,6 +389,7 @@
             try:
                 message = self._parser.take()
                 if message is None:
+                    self._make_room_for(self._parser.expects)
                     return
                 self._keeps = message.keeps_alive
                 self._route(message, at)
@@ -380,7 +398,20 @@
             except HttpError as fault:
                 self._side.log.count(f"bad_request_{fault.status}")
                 self._keeps = False
-                self._send(fault.status, {"Allow": "GET"} if fault.status == 405 else {})
+                self._send(fault.status, {"Allow": "GET, PUT"} if fault.status == 405 else {})
+
+    def _make_room_for(self, size: int) -> None:
+        """A large body is read only where there is room for it; else its client may come again."""
+        if size > self._side.bounds.small_body and not self._large:
+            if not self._side.hold(size):
+                raise HttpError(REFUSED, "no room for a body")
+            self._large = size
+
+    def _let_go(self) -> None:
+        """The request in hand is over, and its body with it."""
+        if self._large:
+            self._side.let_go(self._large)
+            self._large = 0
 
     def _ahead(self) -> None:
         """Bytes before the answer: a client has one request at a time, so these are not taken up."""
@@ -389,26 +420,31 @@
 
     def _route(self, message: Message, at: int) -> None:
         method, target = message.first
-        if method != "GET":
-            raise HttpError(405, "only GET")
+        if method not in ("GET", "PUT"):
+            raise HttpError(405, "only GET and PUT")
         if target == HEALTH:
             self._send(REFUSED if self._side.draining else 200, {})
             return
         match = TARGET.fullmatch(target)
         if match is None or match[1] not in self._side.classes:
             raise HttpError(404, "unknown target")
+        writes = method == "PUT"
+        if writes and not self._side.classes[match[1]].uncacheable:
+            raise HttpError(405, "a class that nobody writes")
         self._exchange = exchange = Exchange(
             id=_value(message, "x-call-id", CALL_ID),
             class_name=match[1],
             object=match[2],
             part=int(match[3]),
             group=_group(message),
-            tag=_own_tag(message),
+            tag="" if writes else _own_tag(message),
             payload=message.body,
             patience=int(_value(message, "x-patience-ms", PATIENCE)) * MS,
             arrived=at,
             deliver=self._deliver,
             deserted=self.deserted,
+            writes=writes,
+            dedupe=_value(message, "x-dedupe-key", DEDUPE) if message.header("x-dedupe-key") else "",
         )
         self.asked, self.limit = True, 0
         self._side.post(Arrived(exchange))
@@ -442,6 +478,7 @@
         """Our end; the client has a while for its own."""
         self._ending, self.limit = True, self._side.clock.now() + LINGER
         self._parser.clear()
+        self._let_go()
         sockets.hang_up(self._sock, socket.SHUT_WR)
 
     def _rest(self) -> None:
@@ -503,6 +540,7 @@
         answer.release()
         self._side.log.count(answer.verdict.value)
         self._exchange = None
+        self._let_go()
         if self._closes or not self._keeps:
             self._finish_sending()
         else:
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -18,7 +18,6 @@
 from olivepost.net.clock import Clock
 from olivepost.net.copies import Copies, Kept, answer_of
 from olivepost.net.exchange import Answer, Arrived, Exchange, Left, Verdict
-from olivepost.net.frames import command
 from olivepost.net.log import Log
 from olivepost.net.registry import Heard, Told
 from olivepost.net.servers import Aborted, Call, Ended, Servers, Unsent, fetch_fields
@@ -213,7 +212,8 @@
             exchange.close(Answer(Verdict.FAILED))
             return
         # Without word of the coordinator a purge may have come that no copy here has heard of.
-        kept = self._copies.find(exchange) if self._flow and now - self._heard < VOUCHED else None
+        vouched = self._flow and now - self._heard < VOUCHED and not exchange.writes
+        kept = self._copies.find(exchange) if vouched else None
         copy = api.Copy(max(0, now - kept.issued), int(kept.body.length / self._flow * 1e9)) if kept else None
         self._held[exchange.id] = Held(exchange, kept)
         until = exchange.arrived + exchange.patience
@@ -221,7 +221,7 @@
         ttl = max(0, until - now)
         request = api.Request(
             exchange.id, exchange.class_name, exchange.object, ttl,
-            group=exchange.group, part=exchange.part, copy=copy,
+            group=exchange.group, part=exchange.part, copy=copy, write=exchange.writes,
         )
         self._do(self._router.handle(now, request))
 
@@ -364,8 +364,8 @@
             return
         exchange, number = held.exchange, held.sends
         held.sends += 1
-        frame = command("fetch", exchange.id, fetch_fields(exchange, fetch), exchange.payload)
-        call = Call(exchange, number, fetch.cache, fetch.source, self._clock.now(), frame, fetch.begin_by)
+        fields, now = fetch_fields(exchange, fetch), self._clock.now()
+        call = Call(exchange, number, fetch.cache, fetch.source, now, fields, fetch.begin_by)
         held.calls[number] = call
         self._serial += 1
         call.timer = self._serial
--- a/olivepost/net/exchange.py
+++ b/olivepost/net/exchange.py
@@ -50,6 +50,8 @@
     arrived: int  # when the last byte was read
     deliver: Callable[[Exchange, Answer], None]
     deserted: Callable[[], bool]  # whether the client has gone, by its connection: no attempt begins then
+    writes: bool = False  # it changes the object, at the origin
+    dedupe: str = ""  # by which caches know a repeat, as the client gave it
     closed: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
--- a/olivepost/net/http1.py
+++ b/olivepost/net/http1.py
@@ -98,6 +98,11 @@
         """Whether nothing of a next message has come."""
         return self._head is None and not self._data
 
+    @property
+    def expects(self) -> int:
+        """Bytes of the body of a message whose head has come; 0 where there is none."""
+        return self._length if self._head is not None else 0
+
     def clear(self) -> None:
         """Forgets what has come."""
         self._data.clear()
--- a/olivepost/net/servers.py
+++ b/olivepost/net/servers.py
@@ -27,8 +27,14 @@
 NOTES = {
     "warm": api.Note.HIT,
     "fill": api.Note.FILLED,
+    "deep_fill": api.Note.FILLED_BY_ORIGIN,
     "piggy": api.Note.JOINED,
     "aged": api.Note.STALE_HIT,
+    "bounced": api.Note.SOURCE_REFUSED,
+    "dropped": api.Note.SOURCE_LOST,
+    "lacking": api.Note.SOURCE_LACKS,
+    "jammed": api.Note.NO_FILL_PLACE,
+    "backfire": api.Note.ORIGIN_FAILED,
 }
 UNSERVED = {
     "NONE": api.Status.NO_COPY,
@@ -60,7 +66,7 @@
     cache: str
     source: str
     sent: int
-    frame: bytes
+    fields: dict[str, str]
     begin_by: int = 0  # not to be written later; 0: no bound
     stage: Stage = Stage.QUEUED
     begun: bool = False  # its first byte has been written
@@ -134,6 +140,8 @@
         fields["f"] = "+".join(hows)
     if exchange.tag:
         fields["mine"] = exchange.tag
+    if exchange.dedupe:
+        fields["dedupe"] = exchange.dedupe
     return fields
 
 
@@ -306,8 +314,8 @@
                 if late:
                     self._tools.post(Ended(order, api.Status.NEVER_SENT, now))
                     continue
-                self._send(sock, order.frame, order)
-                order.frame = b""  # a request that waits for its answer needs it no more
+                exchange = order.exchange  # framed here, so that a body is not held once more while it waits
+                self._send(sock, command("fetch", exchange.id, order.fields, exchange.payload), order)
             elif isinstance(order, Aborted):
                 self._send(sock, command("abort", order.call.exchange.id), None)
                 self._given_up(order)
@@ -468,8 +476,6 @@
         The connection first: its end gives up all that is open there, and what is told here may be sent
         elsewhere at once, where two attempts of a request must not be out together.
         """
-        if self._sock is not None:
-            sockets.hang_up(self._sock)
         with self._lock:
             self.over = True
             aborts = list(self._aborts)
@@ -477,6 +483,8 @@
             self._past.clear()
             for call in calls:
                 call.stage = Stage.OVER
+        if self._sock is not None:
+            sockets.hang_up(self._sock)
         for aborted in aborts:
             self._given_up(aborted)
         now, shared = self._tools.clock.now(), False
