--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -212,8 +212,7 @@
             exchange.close(Answer(Verdict.FAILED))
             return
         # Without word of the coordinator a purge may have come that no copy here has heard of.
-        vouched = self._flow and now - self._heard < VOUCHED and not exchange.writes
-        kept = self._copies.find(exchange) if vouched else None
+        kept = self._copies.find(exchange) if self._flow and now - self._heard < VOUCHED else None
         copy = api.Copy(max(0, now - kept.issued), int(kept.body.length / self._flow * 1e9)) if kept else None
         self._held[exchange.id] = Held(exchange, kept)
         until = exchange.arrived + exchange.patience
