--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,17 @@
+"""Fixtures that several test files use."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from olivepost.net import sockets
+
+
+@pytest.fixture
+def narrow(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As if bodies were larger than the machine takes at once."""
+    monkeypatch.setattr(
+        sockets, "widen", lambda sock, _: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    )
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -13,7 +13,7 @@
 from types import TracebackType
 from typing import Any
 
-from examples.toy_server import CONFIG, Coordinator, Member, Reply, entry, serve_all
+from examples.toy_server import CONFIG, Command, Coordinator, Member, Reply, entry, serve_all
 from olivepost import interface as api
 from olivepost.config import read_config
 from olivepost.net.engine import Stop
@@ -90,6 +90,12 @@
             return True
 
 
+def large(member: Member, command: Command) -> None:
+    """A member whose objects are as large as they may be."""
+    if command.verb == "fetch":
+        command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
+
+
 class Rig:
     """A front with a coordinator, caches `a` and `b`, a parent and an origin."""
 
@@ -160,6 +166,15 @@
         os.close(self._nowhere)
 
 
+def ask_narrowly(made: Rig, **more: Any) -> socket.socket:
+    """A client that takes little at once has asked."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(made.address)
+    sock.sendall(Client.request(**more))
+    return sock
+
+
 @contextmanager
 def rig(
     reply: Reply = serve_all, bounds: dict[str, int] | None = None, **changes: Any
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -23,7 +23,7 @@
 from olivepost.net.clients import Connection
 from olivepost.net.engine import Engine, Stop
 from olivepost.net.servers import Link
-from tests.rig import NAME, WITHIN, Client, Rig, rig, toy_config
+from tests.rig import NAME, WITHIN, Client, Rig, ask_narrowly, large, rig, toy_config
 
 MS = 1_000_000
 
@@ -167,16 +167,9 @@
             client.sock.close()
 
 
+@pytest.mark.usefixtures("narrow")
 def test_a_client_that_reads_slowly_gets_a_thread_or_an_end(monkeypatch: pytest.MonkeyPatch) -> None:
     """No thread to be had for the rest of an answer: the connection ends and the buffers come back."""
-    monkeypatch.setattr(
-        sockets, "widen", lambda sock, _: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-    )
-
-    def large(member: Member, command: Command) -> None:
-        if command.verb == "fetch":
-            command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
-
     with rig(large) as made:
         start = threading.Thread.start
 
@@ -186,10 +179,7 @@
             start(thread)
 
         monkeypatch.setattr(threading.Thread, "start", short)
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        sock.connect(made.address)
-        sock.sendall(Client.request())
+        sock = ask_narrowly(made)
         assert made.until(lambda: made.counted("threads_short") == 1)
         assert made.until(lambda: made.front.pool.out == 0)
         sock.close()
@@ -390,39 +380,42 @@
             serve_all(member, command)
 
 
-@pytest.mark.parametrize("how", ["abort", "end"])
-def test_the_next_attempt_goes_once_the_one_before_is_given_up(
-    how: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """An abort waits in its link's queue while another link's thread runs; a link's end gives up too."""
-    gate, send, slow = threading.Event(), Link._send, Slow()
+class Aborting:
+    """Aborts wait to be written until they are let go; with `resets`, their link is reset instead."""
 
-    def late(self: Link, sock: socket.socket, data: bytes, call: Any) -> None:
-        if data.startswith(b"abort"):
-            gate.wait(WITHIN)
-            if how == "end":
-                raise ConnectionError("reset by the member")
-        send(self, sock, data, call)
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.gate, self.resets, send = threading.Event(), False, Link._send
+
+        def late(link: Link, sock: socket.socket, data: bytes, call: Any) -> None:
+            if data.startswith(b"abort"):
+                self.gate.wait(WITHIN)
+                if self.resets:
+                    raise ConnectionError("reset by the member")
+            send(link, sock, data, call)
 
-    monkeypatch.setattr(Link, "_send", late)
+        monkeypatch.setattr(Link, "_send", late)
+
+
+@pytest.fixture
+def aborting(monkeypatch: pytest.MonkeyPatch) -> Aborting:
+    return Aborting(monkeypatch)
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_the_next_attempt_goes_once_the_one_before_is_given_up(resets: bool, aborting: Aborting) -> None:
+    """An abort waits in its link's queue while another link's thread runs; a link's end gives up too."""
+    slow, aborting.resets = Slow(), resets
     with rig(slow, settings=one_at_a_time()) as made, made.client() as client:
         client.send(Client.request(patience=15_000))
         held = made.front.engine._held
         assert made.until(lambda: any(it.next is not None for it in list(held.values())))
         assert {member.id for member in made.caches if member.seen()} == {slow.first}
-        gate.set()
+        aborting.gate.set()
         assert client.read()[0] == 200
 
 
-def test_what_waits_for_an_abort_is_taken_back_when_its_cache_drains(monkeypatch: pytest.MonkeyPatch) -> None:
-    gate, send, slow = threading.Event(), Link._send, Slow()
-
-    def late(self: Link, sock: socket.socket, data: bytes, call: Any) -> None:
-        if data.startswith(b"abort"):
-            gate.wait(WITHIN)
-        send(self, sock, data, call)
-
-    monkeypatch.setattr(Link, "_send", late)
+def test_what_waits_for_an_abort_is_taken_back_when_its_cache_drains(aborting: Aborting) -> None:
+    slow = Slow()
     with rig(slow, settings=one_at_a_time()) as made, made.client() as client:
         client.send(Client.request(patience=15_000))
         held = made.front.engine._held
@@ -431,7 +424,7 @@
         rows = [{**row, "state": "terminating"} for row in made.entries if row["id"] == other.id]
         made.coordinator.add(endpoints={"version": 2, "full": False, "servers": rows})
         assert made.outcomes("NEVER_SENT", 1)
-        gate.set()
+        aborting.gate.set()
         assert client.read()[0] in (200, 503) and not other.seen()
 
 
@@ -608,24 +601,14 @@
         ending.join(WITHIN)
 
 
+@pytest.mark.usefixtures("narrow")
 def test_an_answer_half_written_to_a_slow_reader_is_finished_before_the_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(front, "TERM_LINGERS", 0.05)
     monkeypatch.setattr(front, "TERM_ACCEPTS", 100 * MS)
-    monkeypatch.setattr(
-        sockets, "widen", lambda sock, _: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-    )
-
-    def large(member: Member, command: Command) -> None:
-        if command.verb == "fetch":
-            command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
-
     with rig(large) as made:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        sock.connect(made.address)
-        sock.sendall(Client.request(patience=15_000))
+        sock = ask_narrowly(made, patience=15_000)
         assert made.until(lambda: made.counted("slow_clients") == 1 and made.front.engine.open == 0)
         ending, began = end(made)
         # Past the accepting and the lingering: what is owed is waited for all the same.
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,10 +12,9 @@
 from examples.toy_server import Command, Coordinator, Member, body_of, entry, serve_all, tag_of
 from olivepost import interface as api
 from olivepost.config import read_address
-from olivepost.net import sockets
 from olivepost.net.clients import Clients, Connection
 from olivepost.net.engine import VOUCHED
-from tests.rig import NAME, WITHIN, Client, Rig, rig
+from tests.rig import NAME, WITHIN, Client, Rig, ask_narrowly, large, rig
 
 FILLED = "0a3a9c21e0b4d655"  # no toy cache keeps it
 
@@ -177,29 +176,6 @@
         assert made.until(lambda: any(cache.seen("abort") for cache in made.caches))
 
 
-@pytest.fixture
-def narrow(monkeypatch: pytest.MonkeyPatch) -> None:
-    """As if bodies were larger than the machine takes at once."""
-    monkeypatch.setattr(
-        sockets, "widen", lambda sock, _: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-    )
-
-
-def large(member: Member, command: Command) -> None:
-    """A member whose objects are as large as they may be."""
-    if command.verb == "fetch":
-        command.answer("HIT", b"x" * 240_000, why="warm", entity="x", issued="1")
-
-
-def ask_narrowly(made: Rig, **more: Any) -> socket.socket:
-    """A client that takes little at once has asked."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    sock.connect(made.address)
-    sock.sendall(Client.request(**more))
-    return sock
-
-
 @pytest.mark.usefixtures("narrow")
 def test_a_client_that_does_not_read_harms_nobody() -> None:
     with rig(large) as made:
