--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -714,7 +714,7 @@
         other.add(endpoints={"version": 2, "full": False, "servers": draining(made, 1)})
         assert made.until(lambda: drained(made))
         before = len(made.caches[0].seen())
-        # On a full machine the one cache that is left may stand still and be left for a moment: a refusal then
+        # On a full machine the one cache that is left may stand still for a moment: a refusal then
         # is no fault of the list's. What counts is that nothing goes to the one that drains.
         assert 200 in {client.ask(piece=piece)[0] for piece in range(12)}
         assert len(made.caches[0].seen()) == before
