Room of a large body given back also by the health page; a fault at the end harms no engine

Read again: Connection._rest ended a request without giving back the room of its body (GET of the health page with a long body, where a class writes), so that four such clients would have closed writes for good; and an exception in the router's Ending would have ended the engine's thread. tests/test_writes.py: the first, failing before.

--- a/olivepost/net/clients.py
+++ b/olivepost/net/clients.py
@@ -483,6 +483,7 @@
 
     def _rest(self) -> None:
         """Nothing is open: the next request must be whole in time."""
+        self._let_go()
         self.since = self._side.clock.now()
         self.limit = self.since + self._side.bounds.client_idle
 
@@ -540,7 +541,6 @@
         answer.release()
         self._side.log.count(answer.verdict.value)
         self._exchange = None
-        self._let_go()
         if self._closes or not self._keeps:
             self._finish_sending()
         else:
--- a/olivepost/net/engine.py
+++ b/olivepost/net/engine.py
@@ -152,7 +152,10 @@
         """Fires what has come due."""
         if 0 < self._ending <= (now := self._clock.now()):
             self._ending, self._over = 0, True
-            self._do(self._router.handle(now, api.Ending()))
+            try:
+                self._do(self._router.handle(now, api.Ending()))
+            except Exception:
+                self._log.fault("engine_fault", kind="ending")
         while self._timers and self._timers[0][0] <= (now := self._clock.now()):
             due, _, token, calls = heappop(self._timers)
             if now - due > LATE_TIMER:
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -111,6 +111,16 @@
             client.sock.close()
 
 
+def test_a_large_body_that_nobody_wants_gives_its_room_back() -> None:
+    """The health page answers and its connection stays."""
+    with rig(stored, settings=settings()) as made, made.client() as client:
+        client.send(b"GET /-/healthy HTTP/1.1\r\nContent-Length: 100000\r\n\r\n")
+        assert made.until(lambda: room(made) == 100_000)
+        client.send(b"x" * 100_000)
+        assert client.read()[0] == 200
+        assert made.until(lambda: room(made) == 0)
+
+
 def test_small_bodies_need_no_room() -> None:
     with rig(stored, settings=settings(), bounds={"large_bodies": 0}) as made, made.client() as client:
         client.send(put(b"x" * SMALL_BODY))
