--- /dev/null
+++ b/tests/soak/load_process.py
@@ -0,0 +1,128 @@
+"""Clients in a process of their own: `python -m tests.soak.load_process HOST PORT OPTIONS`.
+
+OPTIONS is the JSON of `LoadOptions`. Prints how many requests were answered, by status, as one JSON line.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import selectors
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from olivepost.config import Address
+
+ROOT = Path(__file__).parents[2]
+RECEIVE_BYTES = 262_144
+NAME_MULTIPLIER = 2_654_435_761  # Knuth's: numbers that follow each other give names spread over all values
+NAME_RANGE = 2**64
+END_OF_HEAD = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOptions:
+    """A closed-loop load: each connection asks again as soon as it has its answer."""
+
+    seed: int
+    duration_s: float
+    connections: int
+    names: int  # that are asked for, evenly
+    class_name: str = "segment"
+    timeout_ms: int = 3_000
+
+
+class LoadProcess:
+    """A load in a process of its own."""
+
+    def __init__(self, address: Address, options: LoadOptions) -> None:
+        arguments = [address.host, str(address.port), json.dumps(asdict(options))]
+        command = [sys.executable, "-m", "tests.soak.load_process", *arguments]
+        self._process = subprocess.Popen(command, stdout=subprocess.PIPE, cwd=ROOT)
+        self._timeout_s = options.duration_s + 60
+
+    def statuses(self) -> Counter[str]:
+        """Waits for the end of the load; answers by status."""
+        output, _ = self._process.communicate(timeout=self._timeout_s)
+        return Counter(json.loads(output))
+
+
+class LoadConnection:
+    """One connection, with the request that it waits for."""
+
+    def __init__(self, address: Address) -> None:
+        self.sock = socket.create_connection(address)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._received = bytearray()
+        self._length = -1
+
+    def send(self, name: int, request_id: int, options: LoadOptions) -> None:
+        """Sends the next request."""
+        text = f"{name * NAME_MULTIPLIER % NAME_RANGE:016x}"
+        head = (
+            f"GET /api/v2/{options.class_name}/{text}/slice-0 HTTP/1.1\r\nHost: b\r\n"
+            f"X-Call-Id: {request_id:016x}\r\nX-Patience-Ms: {options.timeout_ms}\r\nX-Set: 17\r\n\r\n"
+        )
+        self.sock.sendall(head.encode())
+
+    def receive(self) -> str | None:
+        """The status of the answer, once it is complete; raises ConnectionError at the connection's end."""
+        data = self.sock.recv(RECEIVE_BYTES)
+        if not data:
+            raise ConnectionError("closed by the proxy")
+        self._received += data
+        head, end, _ = self._received.partition(END_OF_HEAD)
+        if not end:
+            return None
+        _, _, length = bytes(head).lower().partition(b"content-length: ")
+        size = len(head) + len(end) + int(length.split(b"\r\n")[0] or b"0")
+        if len(self._received) < size:
+            return None
+        status = bytes(head).split()[1].decode()
+        del self._received[:size]
+        return status
+
+
+def main(address: Address, options: LoadOptions) -> None:
+    """Asks on all connections until the time is over."""
+    draw = random.Random(options.seed)
+    request_id = options.seed << 40
+    statuses: Counter[str] = Counter()
+    selector = selectors.DefaultSelector()
+
+    def ask(connection: LoadConnection) -> None:
+        nonlocal request_id
+        request_id += 1
+        connection.send(draw.randrange(options.names), request_id, options)
+
+    def connect() -> None:
+        connection = LoadConnection(address)
+        selector.register(connection.sock, selectors.EVENT_READ, connection)
+        ask(connection)
+
+    for _ in range(options.connections):
+        connect()
+    until = time.monotonic() + options.duration_s
+    while time.monotonic() < until:
+        for key, _ in selector.select(0.1):
+            connection: LoadConnection = key.data
+            try:
+                status = connection.receive()
+                if status is not None:
+                    statuses[status] += 1
+                    ask(connection)
+            except OSError:
+                statuses["closed"] += 1
+                selector.unregister(connection.sock)
+                connection.sock.close()
+                connect()
+    print(json.dumps(statuses))
+
+
+if __name__ == "__main__":
+    main(Address(sys.argv[1], int(sys.argv[2])), LoadOptions(**json.loads(sys.argv[3])))
