Visibility: reasons with request ids, events by kind, delays in a histogram

Change: request_given_up, attempt_failed, client_connection_closed, endpoints_updated (ten lines a second each, all counted); event_counts; a histogram of 12 KB; log lines bounded in bytes, no logging call raises, a pipe that does not block takes lines whole.

--- a/olivepost/config/limits.py
+++ b/olivepost/config/limits.py
@@ -116,7 +116,7 @@
     receive_poll_interval: int = 50 * MILLISECOND  # how often a silent upstream connection is checked
     # Threads that write responses: none of them blocks, and more only wake each other at full load.
     writer_threads: int = 1
-    max_log_lines: int = 10_000  # waiting to be written
+    max_log_bytes: int = 1_048_576  # of lines that wait to be written
     backlog: int = 512
 
 
--- a/olivepost/interface/actions.py
+++ b/olivepost/interface/actions.py
@@ -2,7 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class GiveUpReason(Enum):
+    """Why a request is given up; the values stand in the log and in names of counters."""
+
+    UNSPECIFIED = "unspecified"
+    DEADLINE = "deadline"  # the client's time is nearly up
+    NO_ENDPOINT = "no_endpoint"  # none may take the request
+    OVERLOAD = "overload"  # too expensive for the present load
+    RETRY_NOT_ALLOWED = "retry_not_allowed"  # by attempts, time, the retry budget or idempotency
+    SHUTDOWN = "shutdown"
+    MEMORY = "memory"  # the process is close to its memory limit
 
 
 @dataclass(slots=True)
@@ -34,6 +47,7 @@
 
     request_id: str
     retry_after: int = 0  # 0: no advice
+    reason: GiveUpReason = field(default=GiveUpReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(slots=True)
@@ -41,6 +55,7 @@
     """Final response: failed, with no promise about its effect."""
 
     request_id: str
+    reason: GiveUpReason = field(default=GiveUpReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(slots=True)
--- a/olivepost/proxy/downstream/connection.py
+++ b/olivepost/proxy/downstream/connection.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 
 from olivepost.proxy import sockets
-from olivepost.proxy.downstream.connection_lifecycle import ConnectionLifecycle
+from olivepost.proxy.downstream.connection_lifecycle import (
+    ORDINARY_CLOSE_REASONS,
+    CloseReason,
+    ConnectionLifecycle,
+)
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.response_writer import ResponseWriters, encode_response
 from olivepost.proxy.downstream.routes import ALLOW_HEADER, build_exchange, is_health_check
@@ -47,6 +51,7 @@
         try:
             if buffers is None:
                 context.log.increment("pool_empty")
+                self._set_close_reason(CloseReason.NO_READ_BUFFER)
             else:
                 sockets.configure(self._sock, 0, context.limits.write_stall_timeout)
                 sockets.set_send_buffer(self._sock, context.limits.max_response_body)
@@ -54,6 +59,7 @@
         except OSError:
             context.log.increment("connections_reset")
         except Exception:  # the top of a thread: a fault ends this connection only
+            self._set_close_reason(CloseReason.ERROR)
             context.log.exception("downstream_connection_error")
         finally:
             self._close()
@@ -101,9 +107,19 @@
             self._exchange = None
             self._body_reservation.release()
             self._sock.close()
+        self._record_close(exchange)
         if exchange is not None:
             self._context.post(RequestAbandoned(exchange))
 
+    def _record_close(self, exchange: Exchange | None) -> None:
+        """Counts the end by its reason; one under a request, or that is out of the ordinary, is logged."""
+        log = self._context.log
+        reason = self._close_reason
+        log.increment(f"connections_closed_{reason.value}")
+        if exchange is not None or reason not in ORDINARY_CLOSE_REASONS:
+            request = exchange.id if exchange is not None else None
+            log.sampled_event("client_connection_closed", reason=reason.value, request=request)
+
     # The reader thread, with the lock held.
 
     def _take_requests(self, received_at: int) -> None:
@@ -160,7 +176,7 @@
             try:
                 unsent = sockets.send_buffers(self._sock, buffers, socket.MSG_DONTWAIT)
             except OSError:
-                self.abort()
+                self.abort(CloseReason.WRITE_FAILED)
                 unsent = []
             if unsent:
                 self.deadline = self._write_deadline(exchange)
@@ -177,7 +193,7 @@
             try:
                 sockets.send_buffers(self._sock, unsent)
             except OSError:
-                self.abort()
+                self.abort(CloseReason.WRITE_FAILED)
             self._is_write_blocked = False
             self._complete(response)
 
@@ -185,7 +201,7 @@
         """Cuts off a response that no thread can finish."""
         with self._lock:
             if not self._release_if_abandoned(exchange, response):
-                self.abort()
+                self.abort(CloseReason.WRITE_FAILED)
                 self._complete(response)
 
     def _release_if_abandoned(self, exchange: Exchange, response: Response) -> bool:
@@ -208,6 +224,6 @@
         self._context.log.increment(response.kind.value)
         self._exchange = None
         if self._closes_after_response or not self._keeps_alive:
-            self._half_close()
+            self._half_close(CloseReason.AFTER_RESPONSE)
         else:
             self._become_idle()
--- a/olivepost/proxy/downstream/connection_lifecycle.py
+++ b/olivepost/proxy/downstream/connection_lifecycle.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from collections.abc import Mapping
+from enum import Enum
 
 from olivepost.proxy import sockets
 from olivepost.proxy.downstream.body_budget import LargeBodyReservation
@@ -20,6 +21,24 @@
 READER_GRACE_NS = 200 * MILLISECOND
 
 
+class CloseReason(Enum):
+    """Why a client's connection ended; the values stand in the log and in names of counters."""
+
+    CLIENT_CLOSED = "client_closed"
+    EVICTED = "evicted"  # idle, at the connection cap or close to the memory limit
+    IDLE_TIMEOUT = "idle_timeout"
+    REQUEST_TIMEOUT = "request_timeout"  # half a request
+    WRITE_TIMEOUT = "write_timeout"  # a response that the client does not read
+    WRITE_FAILED = "write_failed"
+    DRAINING = "draining"
+    AFTER_RESPONSE = "after_response"  # as the client or the proxy has announced
+    NO_READ_BUFFER = "no_read_buffer"
+    ERROR = "error"
+
+
+ORDINARY_CLOSE_REASONS = (CloseReason.CLIENT_CLOSED, CloseReason.AFTER_RESPONSE, CloseReason.IDLE_TIMEOUT)
+
+
 class ConnectionLifecycle:
     """State and endings of a connection; a connection has one request in flight at most.
 
@@ -45,6 +64,7 @@
         self._is_ending = False  # our last response is sent, or none will be
         self._is_write_blocked = False  # a writer holds the lock and waits for the client to read
         self._is_closed = False  # by the client, or after our ending
+        self._close_reason = CloseReason.CLIENT_CLOSED  # as long as nobody here has ended the connection
         self.has_received_request = False  # a complete request was received
         self.idle_since = context.clock.now()  # when the connection last became idle
         # When the connection must have left its present state, whatever bytes come until then; 0 while a
@@ -81,7 +101,7 @@
         try:
             if self._exchange is not None or not self.has_nothing_unread:
                 return False
-            self._shut_down()
+            self._shut_down(CloseReason.EVICTED)
             return True
         finally:
             self._lock.release()
@@ -91,7 +111,7 @@
         if not self._lock.acquire(blocking=False):
             if self._is_write_blocked:  # otherwise its reader has just received something
                 self.deadline = 0
-                self.abort()
+                self.abort(CloseReason.WRITE_TIMEOUT)
             return
         try:
             self._expire_locked()
@@ -103,12 +123,13 @@
         if not 0 < self.deadline < now:
             return  # a request was received since the caller read the deadline
         if self._is_ending or self._exchange is not None:
-            self._shut_down()
+            self._shut_down(CloseReason.WRITE_TIMEOUT)
         elif not self._parser.is_idle:
             self._keeps_alive = False
+            self._set_close_reason(CloseReason.REQUEST_TIMEOUT)
             self._send_head(408, {})
         elif self.has_nothing_unread:
-            self._half_close()
+            self._half_close(CloseReason.IDLE_TIMEOUT)
         else:
             self.deadline = now + READER_GRACE_NS  # the reader thread is late, not the client
 
@@ -117,10 +138,11 @@
         with self._lock:
             is_idle = self._exchange is None and self._parser.is_idle
             if is_idle and not self._is_ending and not self._is_closed and self.has_nothing_unread:
-                self._half_close()
+                self._half_close(CloseReason.DRAINING)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Shuts down the socket at once; the client can tell that its response is incomplete."""
+        self._set_close_reason(reason)
         self._context.log.increment("responses_aborted")
         self._keeps_alive = False
         sockets.shutdown(self._sock)
@@ -137,16 +159,23 @@
         self.idle_since = self._context.clock.now()
         self.deadline = self.idle_since + self._context.limits.keepalive_timeout
 
-    def _half_close(self) -> None:
+    def _set_close_reason(self, reason: CloseReason) -> None:
+        """Notes who has ended the connection; the first one counts."""
+        if self._close_reason is CloseReason.CLIENT_CLOSED:
+            self._close_reason = reason
+
+    def _half_close(self, reason: CloseReason) -> None:
         """Closes our side; the client has the linger timeout to close its own."""
+        self._set_close_reason(reason)
         self._is_ending = True
         self.deadline = self._context.clock.now() + LINGER_TIMEOUT_NS
         self._parser.clear()
         self._body_reservation.release()
         sockets.shutdown(self._sock, socket.SHUT_WR)
 
-    def _shut_down(self) -> None:
+    def _shut_down(self, reason: CloseReason) -> None:
         """Ends both directions; what the reader thread still receives is dropped."""
+        self._set_close_reason(reason)
         self.deadline = 0
         self._is_ending = True
         sockets.shutdown(self._sock)
@@ -156,9 +185,9 @@
         closes = not self._stays_open  # read once: a drain that begins meanwhile must not change it
         is_sent = self._try_send(response_head(status, 0, headers, closes))
         if not is_sent:
-            self.abort()
+            self.abort(CloseReason.WRITE_FAILED)
         if closes or not is_sent:
-            self._half_close()
+            self._half_close(CloseReason.AFTER_RESPONSE)
         else:
             self._become_idle()
 
--- a/olivepost/proxy/downstream/response_writer.py
+++ b/olivepost/proxy/downstream/response_writer.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, NamedTuple
 
+from olivepost.proxy.downstream.connection_lifecycle import CloseReason
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.exchange import Exchange, Response, ResponseKind
 from olivepost.proxy.http1 import response_head
@@ -68,7 +69,7 @@
                 job.connection.abandon_response(job.exchange, job.response)
             except Exception:  # a fault in one connection must not end the writer of all
                 log.exception("response_writer_error")
-                job.connection.abort()
+                job.connection.abort(CloseReason.ERROR)
 
     def _start_slow_writer(self, job: WriteJob, unsent: list[memoryview]) -> None:
         self._log.increment("slow_clients")
--- a/olivepost/proxy/event_log.py
+++ b/olivepost/proxy/event_log.py
@@ -5,43 +5,83 @@
 import os
 import queue
 import threading
+import time
 import traceback
 from collections import Counter
+from dataclasses import dataclass
 
 import orjson
 
 from olivepost.proxy.clock import Clock
-from olivepost.units import MILLISECOND
+from olivepost.units import MILLISECOND, SECOND
 
 MAX_TRACEBACK_FRAMES = 6  # the innermost ones
+# Lines in a second of an event that may come with each request or connection; all are counted.
+MAX_SAMPLES_PER_S = 10
+DEFAULT_MAX_BYTES = 1_048_576  # of lines that wait to be written
+LINE_OVERHEAD = 64  # bytes that the queue takes for a line beside its text
+# A descriptor that takes no bytes at once (a full pipe that does not block) is tried again for so long.
+FULL_PIPE_PAUSE_S = 0.01
+FULL_PIPE_TRIES = 100
+
+
+@dataclass(slots=True)
+class SampleWindow:
+    """Lines of one event within one second."""
+
+    second: int
+    lines: int = 0
 
 
 class EventLog:
     """Events by name, and counters for what is too frequent for a line each. Thread-safe.
 
-    No thread waits for a reader that is slow or gone: lines beyond `max_lines` are dropped and counted. The
-    lock guards the counters.
+    No thread waits for a reader that is slow or gone: lines beyond `max_bytes` are dropped and counted. No
+    call raises: what can't be logged is counted. The lock guards the counters, the sample windows and
+    `waiting_bytes`.
     """
 
-    def __init__(self, clock: Clock, name: str, max_lines: int = 10_000, descriptor: int = 1) -> None:
+    def __init__(
+        self, clock: Clock, name: str, max_bytes: int = DEFAULT_MAX_BYTES, descriptor: int = 1
+    ) -> None:
+        self.waiting_bytes = 0
         self._clock = clock
         self._name = name
-        self._max_lines = max_lines
+        self._max_bytes = max_bytes
         self._descriptor = descriptor
         self._lines: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
         self._lock = threading.Lock()
         self._counters: Counter[str] = Counter()
+        self._samples: dict[str, SampleWindow] = {}
         self._thread = threading.Thread(target=self._write, name="log", daemon=True)
         self._thread.start()
 
     def event(self, name: str, **fields: object) -> None:
         """Logs one event."""
-        if self._lines.qsize() >= self._max_lines:
-            self.increment("log_lines_dropped")
-            return
         at_ms = self._clock.now() // MILLISECOND
         line = {"at_ms": at_ms, "proxy": self._name, "event": name, **fields}
-        self._lines.put(orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS) + b"\n")
+        try:
+            data = orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS) + b"\n"
+        except (TypeError, ValueError):  # orjson's own error is a TypeError: a field that it can't write
+            self.increment("log_lines_dropped")
+            return
+        if self._reserve(len(data) + LINE_OVERHEAD):
+            self._lines.put(data)
+
+    def sampled_event(self, name: str, **fields: object) -> None:
+        """Logs one event of a kind that may be frequent: only the first ones of each second."""
+        second = self._clock.now() // SECOND
+        with self._lock:
+            window = self._samples.get(name)
+            if window is None or window.second != second:
+                window = SampleWindow(second)
+                self._samples[name] = window
+            window.lines += 1
+            is_logged = window.lines <= MAX_SAMPLES_PER_S
+        if is_logged:
+            self.event(name, **fields)
+        else:
+            self.increment(f"{name}_not_logged")
 
     def exception(self, name: str, **fields: object) -> None:
         """Logs and counts the exception that is being handled, with its traceback."""
@@ -63,11 +103,32 @@
         self._lines.put(None)
         self._thread.join(timeout_s)
 
+    def _reserve(self, size: int) -> bool:
+        """Takes room for a line that waits; false, and counted, where there is none."""
+        with self._lock:
+            if self.waiting_bytes + size > self._max_bytes:
+                self._counters["log_lines_dropped"] += 1
+                return False
+            self.waiting_bytes += size
+            return True
+
     def _write(self) -> None:
         while (line := self._lines.get()) is not None:
-            remaining = memoryview(line)
             try:
-                while remaining:
-                    remaining = remaining[os.write(self._descriptor, remaining) :]
+                self._write_line(line)
             except OSError:
                 self.increment("log_lines_dropped")
+            with self._lock:
+                self.waiting_bytes -= len(line) + LINE_OVERHEAD
+
+    def _write_line(self, line: bytes) -> None:
+        remaining = memoryview(line)
+        tries = 0
+        while remaining:
+            try:
+                remaining = remaining[os.write(self._descriptor, remaining) :]
+            except BlockingIOError:
+                tries += 1
+                if tries > FULL_PIPE_TRIES:
+                    raise
+                time.sleep(FULL_PIPE_PAUSE_S)
--- a/olivepost/proxy/event_loop.py
+++ b/olivepost/proxy/event_loop.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import queue
+from collections import Counter
 
 from olivepost import interface as api
 from olivepost.proxy.action_executor import ActionExecutor
+from olivepost.proxy.delay_histogram import DelayHistogram
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
 from olivepost.proxy.event_loop_resources import EventLoopResources
 from olivepost.proxy.event_queue import EventQueue
@@ -26,7 +28,6 @@
 from olivepost.units import MILLISECOND, SECOND
 
 LATE_TIMER_AFTER = 5 * MILLISECOND  # a timer that fires later than this after it was due is counted
-MAX_QUEUE_DELAYS = 100_000  # kept between two metrics lines: bounds their memory
 
 
 class EventLoop:
@@ -48,7 +49,8 @@
         self._timers = TimerQueue()
         self._executor = ActionExecutor(resources, self._pending, self._timers, events.post)
         self._lifecycle = ExchangeLifecycle(resources, self._pending, self._executor)
-        self._queue_delays: list[int] = []
+        self._queue_delays = DelayHistogram()
+        self._event_counts: Counter[str] = Counter()
 
     def post(self, event: LoopEvent) -> None:
         """Hands over an event; never waits."""
@@ -59,11 +61,15 @@
         """Requests that are owed a response."""
         return len(self._pending)
 
-    def take_queue_delays(self) -> list[int]:
-        """How long each event since the last call has waited in the queue: nanoseconds, sorted."""
+    def take_queue_delays(self) -> DelayHistogram:
+        """How long the events since the last call have waited in the queue."""
         delays = self._queue_delays
-        self._queue_delays = []
-        return sorted(delays)
+        self._queue_delays = DelayHistogram()
+        return delays
+
+    def event_counts(self) -> dict[str, int]:
+        """Events since the start, by kind."""
+        return dict(self._event_counts)
 
     def run(self) -> None:
         """Handles events and timers until `StopEventLoop`."""
@@ -74,8 +80,8 @@
                 self._fire_due()
                 continue
             now = self._clock.now()
-            if len(self._queue_delays) < MAX_QUEUE_DELAYS:
-                self._queue_delays.append(now - posted_at)
+            self._queue_delays.record(now - posted_at)
+            self._event_counts[type(event).__name__] += 1
             if isinstance(event, StopEventLoop):
                 self._response_cache.clear()
                 return
@@ -196,6 +202,9 @@
         is_complete = update.kind is not api.EndpointUpdateKind.INCREMENTAL
         self._upstream.update(event.addresses, is_complete)
         self._executor.execute(self._router.handle(now, update))
+        if update.kind is not api.EndpointUpdateKind.RESTORED:
+            states = Counter(address.state.name.lower() for address in event.addresses)
+            self._logger.sampled_event("endpoints_updated", update=update.kind.name.lower(), endpoints=states)
         closed = {address.id for address in event.addresses if address.state is not api.EndpointState.READY}
 
         def concerns(attempt: UpstreamRequest) -> bool:
--- a/olivepost/proxy/exchange_lifecycle.py
+++ b/olivepost/proxy/exchange_lifecycle.py
@@ -14,7 +14,7 @@
 from olivepost.proxy.pending_exchanges import PendingExchange, PendingExchanges
 from olivepost.proxy.response_cache import CacheEntry
 from olivepost.proxy.upstream.request import UpstreamCompleted, UpstreamRequest
-from olivepost.units import SECOND
+from olivepost.units import MILLISECOND, SECOND
 
 # After service discovery was last heard: less than the time in which its events must take effect. Without
 # word of it an invalidation may have been missed, and no cached response is used.
@@ -150,11 +150,27 @@
             return
         del pending.attempts[attempt.number]
         if event.status is not api.AttemptStatus.OK:
-            self._log.increment(f"attempts_{event.status.name.lower()}")
+            self._record_failed_attempt(event)
         pending.generated_at = 0 if response is None else response.generated_at
         actions = self._deliver(now, pending, event)
         self._executor.execute(actions, pending)
 
+    def _record_failed_attempt(self, event: UpstreamCompleted) -> None:
+        """Counts an attempt without a response, and logs it; a miss is no failure, and is only counted."""
+        attempt = event.request
+        self._log.increment(f"attempts_{event.status.name.lower()}")
+        if event.status is not api.AttemptStatus.NOT_CACHED:
+            self._log.sampled_event(
+                "attempt_failed",
+                request=attempt.exchange.id,
+                attempt=attempt.number,
+                endpoint=attempt.cache,
+                source=attempt.source,
+                status=event.status.name.lower(),
+                cache_status=event.cache_status.name.lower(),
+                elapsed_ms=(event.completed_at - attempt.forwarded_at) // MILLISECOND,
+            )
+
     def _deliver(self, now: int, pending: PendingExchange, event: UpstreamCompleted) -> list[api.Action]:
         """Closes the request where there is a response, and returns what the router makes of the outcome.
 
--- a/olivepost/proxy/metrics.py
+++ b/olivepost/proxy/metrics.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from olivepost.proxy import invariants
-from olivepost.units import MILLISECOND
 
 if TYPE_CHECKING:
     from olivepost.proxy.server import ProxyServer
@@ -25,8 +24,9 @@
         "pending_requests": proxy.event_loop.pending_count,
         "connections": proxy.downstream.open_count,
         "peak_connections": proxy.downstream.peak_count,
-        "events": len(delays),
-        "queue_delay_ms": delay_percentiles(delays),
+        "events": delays.count,
+        "event_counts": proxy.event_loop.event_counts(),
+        "queue_delay_ms": delays.percentiles_ms(),
         "cpu_s": [round(user_cpu_s, 1), round(system_cpu_s, 1)],
         "descriptors": count_descriptors(),
         **read_process_status(),
@@ -42,15 +42,6 @@
     return metrics
 
 
-def delay_percentiles(delays: list[int]) -> dict[str, float]:
-    """Percentiles of sorted delays in milliseconds; empty where there are none."""
-    count = len(delays)
-    if not count:
-        return {}
-    positions = {"p50": count // 2, "p95": count * 95 // 100, "p99": count * 99 // 100, "max": count - 1}
-    return {name: delays[position] / MILLISECOND for name, position in positions.items()}
-
-
 def count_descriptors() -> int:
     """Open descriptors of this process; -1 where the system does not tell."""
     try:
--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -70,7 +70,7 @@
         self._source = source or ConfigurationSource(lambda: config, lambda: operator)
         self._wait_for_signal = wait_for_signal
         self.clock = Clock()
-        self.log = EventLog(self.clock, config.name, limits.max_log_lines, log_descriptor)
+        self.log = EventLog(self.clock, config.name, limits.max_log_bytes, log_descriptor)
         # Apart from each other, so that bodies which clients hold can't keep sockets from being read.
         self.body_buffers = BufferPool(limits.body_buffers, limits.buffer_size)
         self.read_buffers = BufferPool(limits.read_buffers, limits.buffer_size)
--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -54,7 +54,8 @@
         self.pending[request.id] = pending
         # Rule 1: whatever else happens, the response goes out before the client's time is up.
         last_moment = max(0, timeout - self._settings.deadline_margin)
-        self._set_timer(last_moment, partial(self.give_up, pending=pending), pending)
+        give_up = partial(self.give_up, pending=pending, reason=api.GiveUpReason.DEADLINE)
+        self._set_timer(last_moment, give_up, pending)
         is_full = selection.all_caches_full(self._state, now, name)
         admission.record_sample(
             self._state.arrivals, admission.ARRIVAL_STEP, admission.ARRIVAL_TARGET, is_full
@@ -72,11 +73,14 @@
         cache, source = selection.select_route(self._state, now, pending)
         retries.request_quota(self._state, retry_cost)
         is_rejected = overload is not None and admission.is_too_expensive(self._state, pending, overload)
-        if cache is None or is_rejected:
-            self.give_up(now, pending)
+        if cache is None:
+            self.give_up(now, pending, api.GiveUpReason.NO_ENDPOINT)
+            return
+        if is_rejected:
+            self.give_up(now, pending, api.GiveUpReason.OVERLOAD)
             return
         if not retries.allows_attempt(self._state, now, pending, cache, retry_cost):
-            self.give_up(now, pending)
+            self.give_up(now, pending, api.GiveUpReason.RETRY_NOT_ALLOWED)
             return
         if hints.should_look_up(self._state, pending, cache, source):
             self._look_up(now, pending, cache, source, retry_cost)
@@ -209,14 +213,14 @@
     def give_up_all(self, now: int) -> None:
         """Shutdown: every pending request gets its final response."""
         for pending in list(self.pending.values()):
-            self.give_up(now, pending)
+            self.give_up(now, pending, api.GiveUpReason.SHUTDOWN)
 
-    def give_up(self, now: int, pending: PendingRequest) -> None:
+    def give_up(self, now: int, pending: PendingRequest, reason: api.GiveUpReason) -> None:
         """The final response, at once."""
         request_id = pending.request.id
         if self.pending.get(request_id) is not pending or pending.is_response_started:
             return
-        self._state.actions.append(retries.final_response(self._state, pending))
+        self._state.actions.append(retries.final_response(self._state, pending, reason))
         self.forget(now, request_id)
 
     def forget(self, now: int, request_id: str) -> None:
--- a/olivepost/routing/retries.py
+++ b/olivepost/routing/retries.py
@@ -83,7 +83,9 @@
     return is_idempotent and state.settings.can_cancel_attempts and has_attempts
 
 
-def final_response(state: RoutingState, pending: PendingRequest) -> api.Reject | api.Fail:
+def final_response(
+    state: RoutingState, pending: PendingRequest, reason: api.GiveUpReason
+) -> api.Reject | api.Fail:
     """The final response of a request that is given up: a rejection where trying again is harmless."""
     request_class = pending.request_class
     is_keyed = request_class.idempotency is api.Idempotency.WITH_KEY
@@ -93,5 +95,5 @@
     is_advised = state.settings.supports_retry_after
     retry_after = int(MEAN_RETRY_AFTER * (0.5 + state.random.random())) if is_advised else 0
     if not is_harmless:
-        return api.Fail(pending.request.id)
-    return api.Reject(pending.request.id, min(state.settings.max_retry_after, retry_after))
+        return api.Fail(pending.request.id, reason)
+    return api.Reject(pending.request.id, min(state.settings.max_retry_after, retry_after), reason)
--- /dev/null
+++ b/tests/proxy/test_delay_histogram.py
@@ -0,0 +1,41 @@
+"""The histogram of durations: the percentiles of a sorted list, within one part in 32."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from olivepost.proxy.delay_histogram import DelayHistogram
+
+MS = 1_000_000
+PRECISION = 1 / 32
+
+
+def test_percentiles_are_milliseconds_of_sorted_delays() -> None:
+    histogram = DelayHistogram()
+    for position in range(100):
+        histogram.record(position * MS)
+    expected = {"p50": 50.0, "p95": 95.0, "p99": 99.0}
+    figures = histogram.percentiles_ms()
+    assert figures.pop("max") == 99.0
+    assert figures == pytest.approx(expected, rel=PRECISION)
+    assert DelayHistogram().percentiles_ms() == {}
+
+
+def test_percentiles_of_any_range_are_those_of_the_sorted_samples() -> None:
+    draw = random.Random(5)
+    samples = sorted(int(10 ** draw.uniform(0, 11)) for _ in range(5_000))
+    histogram = DelayHistogram()
+    for sample in samples:
+        histogram.record(sample)
+    for percent in (1, 10, 50, 95, 99):
+        exact = samples[len(samples) * percent // 100]
+        assert exact <= histogram.percentile_ns(percent) <= exact * (1 + PRECISION) + 1
+
+
+@pytest.mark.parametrize("duration", [-5, 0, 1, 31, 32, 33, 63, 64, 1 << 47, 1 << 60])
+def test_single_duration_is_its_own_percentile(duration: int) -> None:
+    histogram = DelayHistogram()
+    histogram.record(duration)
+    assert histogram.percentile_ns(50) == max(0, duration)
