--- a/olivepost/config/limits.py
+++ b/olivepost/config/limits.py
@@ -6,20 +6,9 @@
 from typing import NamedTuple
 
 from olivepost.config.fields import FieldReader
+from olivepost.config.memory_budget import BUFFER_OVERHEAD_BYTES, BYTES_PER_KB, MemoryBudget, Share
 from olivepost.units import MILLISECOND, SECOND
 
-
-class Share(NamedTuple):
-    """A fraction of a whole amount."""
-
-    numerator: int
-    denominator: int
-
-    def of(self, amount: int) -> int:
-        """The share, rounded down."""
-        return amount * self.numerator // self.denominator
-
-
 # What the keys may hold and what holds where they are missing.
 MIN_MEMORY_MB = 16
 MAX_MEMORY_MB = 1 << 20
@@ -43,17 +32,14 @@
 FULL_BUFFER_MEMORY_MB = 128  # from here on buffers have their full size
 HALF_BUFFER_MEMORY_MB = 48  # from here on half of it, below a quarter
 
-# Memory that is not available for connections and bodies.
-BYTES_PER_MB = 1_048_576
-USABLE_MEMORY = Share(9, 10)  # the rest is a reserve against the platform's limit
-PROGRAM_MB = 15  # the program before its first connection: 13 as the platform counts, and a reserve
-TABLES_MB = 5  # the router's name tables and pending requests, at the highest rate measured
-CONNECTION_OVERHEAD = 48 * 1_024  # bytes: the touched part of a thread's stack, its objects and its request
-MIN_SPARE_MB = 4  # with less no useful number of connections fits; the process then runs close to its limit
+# Bytes of a connection beside its buffer to read into. A client's: the touched part of one thread's stack,
+# the parser with a small body, and its request (measured: 20 KB with one request, 35 KB after many).
+CLIENT_CONNECTION_BYTES = 36 * BYTES_PER_KB
+# An upstream one: two threads, the ids of past requests and the requests that are pending on it.
+UPSTREAM_CONNECTION_BYTES = 64 * BYTES_PER_KB
 
 # Connections.
-CONNECTION_MEMORY = Share(1, 2)  # of the spare memory; bodies have what connections leave
-CLIENT_PLACES = Share(3, 5)  # of the connections that fit into memory
+CLIENTS_PER_UPSTREAM = Share(3, 2)  # client connections that fit into memory for each upstream one
 CLIENT_SOCKETS = Share(15, 32)  # of the descriptors: usual clients hold a third, others may have the rest
 UPSTREAM_SOCKETS = Share(3, 8)  # of the descriptors; what is left serves the listener, discovery and files
 ENDPOINT_SOCKETS = Share(1, 16)  # of the descriptors, to one endpoint
@@ -63,10 +49,9 @@
 SPARE_CONNECTIONS_PER_ENDPOINT = 2  # beyond those that carry one request of each client connection
 
 # Bodies.
-LARGE_BODY_MEMORY = Share(1, 5)  # of what connections leave, where a class writes
+LARGE_BODY_MEMORY = Share(1, 5)  # of the memory for bodies, where a class writes
 MIN_LARGE_BODY_BYTES = 2 * MAX_OBJECT_SIZE
 LARGE_BODY_COPIES = 2  # a large body may be held twice, for a moment
-BODY_BUFFER_MEMORY = Share(4, 5)  # of what large bodies leave
 CACHE_BUFFERS = Share(2, 3)  # of the body buffers
 MIN_BODY_BUFFERS = 64  # nothing can be served with fewer
 MAX_BODY_BUFFERS = 8_192
@@ -77,6 +62,7 @@
     """Limits of one proxy process: sizes in bytes, durations in nanoseconds unless named otherwise."""
 
     memory_mb: int
+    memory: MemoryBudget
     max_sockets: int
     # Open client connections; at the cap the one that has been idle longest is closed for a new one.
     max_client_connections: int
@@ -116,7 +102,6 @@
     receive_poll_interval: int = 50 * MILLISECOND  # how often a silent upstream connection is checked
     # Threads that write responses: none of them blocks, and more only wake each other at full load.
     writer_threads: int = 1
-    max_log_bytes: int = 1_048_576  # of lines that wait to be written
     backlog: int = 512
 
 
@@ -145,7 +130,7 @@
 
 
 class BodyPlan(NamedTuple):
-    """How the memory that connections leave is shared out."""
+    """How the memory for bodies is shared out."""
 
     buffers: int
     large_body_bytes: int
@@ -159,12 +144,12 @@
 def derive_limits(platform: PlatformLimits) -> ResourceLimits:
     """Shares out memory and descriptors."""
     buffer_size = choose_buffer_size(platform.memory_mb)
-    spare_bytes = compute_spare_bytes(platform.memory_mb)
-    connections = plan_connections(spare_bytes, buffer_size, platform.max_sockets)
-    connection_bytes = connections.total * (CONNECTION_OVERHEAD + buffer_size)
-    bodies = plan_bodies(spare_bytes - connection_bytes, buffer_size, platform.has_writes)
+    budget = MemoryBudget.of_limit(platform.memory_mb)
+    connections = plan_connections(budget.connections, buffer_size, platform.max_sockets)
+    bodies = plan_bodies(budget.bodies, buffer_size, platform.has_writes)
     return ResourceLimits(
         memory_mb=platform.memory_mb,
+        memory=budget,
         max_sockets=platform.max_sockets,
         max_client_connections=connections.client,
         max_connections_per_endpoint=plan_connections_per_endpoint(
@@ -192,17 +177,20 @@
     return BUFFER_SIZE // 4
 
 
-def compute_spare_bytes(memory_mb: int) -> int:
-    """Bytes for connections and bodies: what the program itself leaves of the usable memory."""
-    spare_mb = USABLE_MEMORY.of(memory_mb) - PROGRAM_MB - TABLES_MB
-    return max(MIN_SPARE_MB, spare_mb) * BYTES_PER_MB
-
-
-def plan_connections(spare_bytes: int, buffer_size: int, max_sockets: int) -> ConnectionPlan:
-    """Shares out the connections that the spare memory and the descriptors allow."""
-    places = CONNECTION_MEMORY.of(spare_bytes) // (CONNECTION_OVERHEAD + buffer_size)
-    client = min(MAX_CLIENT_CONNECTIONS, CLIENT_SOCKETS.of(max_sockets), CLIENT_PLACES.of(places))
-    upstream = min(UPSTREAM_SOCKETS.of(max_sockets), places - client)
+def plan_connections(available_bytes: int, buffer_size: int, max_sockets: int) -> ConnectionPlan:
+    """Shares out the connections that memory and descriptors allow; what clients leave upstream may use."""
+    client_bytes = CLIENT_CONNECTION_BYTES + buffer_size
+    upstream_bytes = UPSTREAM_CONNECTION_BYTES + buffer_size
+    group_bytes = (
+        CLIENTS_PER_UPSTREAM.numerator * client_bytes + CLIENTS_PER_UPSTREAM.denominator * upstream_bytes
+    )
+    groups = available_bytes // group_bytes
+    client = min(
+        MAX_CLIENT_CONNECTIONS, CLIENT_SOCKETS.of(max_sockets), groups * CLIENTS_PER_UPSTREAM.numerator
+    )
+    upstream = min(
+        UPSTREAM_SOCKETS.of(max_sockets), (available_bytes - client * client_bytes) // upstream_bytes
+    )
     return ConnectionPlan(client, upstream)
 
 
@@ -214,12 +202,12 @@
 
 
 def plan_bodies(available_bytes: int, buffer_size: int, has_writes: bool) -> BodyPlan:
-    """Shares out the memory that connections leave among large request bodies and the body buffers."""
+    """Shares out the memory for bodies among large request bodies and the body buffers."""
     large_body_bytes = 0
     if has_writes:
         large_body_bytes = max(MIN_LARGE_BODY_BYTES, LARGE_BODY_MEMORY.of(available_bytes))
     remaining_bytes = available_bytes - LARGE_BODY_COPIES * large_body_bytes
-    buffers = min(MAX_BODY_BUFFERS, BODY_BUFFER_MEMORY.of(remaining_bytes) // buffer_size)
+    buffers = min(MAX_BODY_BUFFERS, remaining_bytes // (buffer_size + BUFFER_OVERHEAD_BYTES))
     return BodyPlan(max(MIN_BODY_BUFFERS, buffers), large_body_bytes)
 
 
--- a/olivepost/interface/events.py
+++ b/olivepost/interface/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, IntEnum
 
 
 class EndpointState(Enum):
@@ -205,6 +205,24 @@
     endpoint_id: str
 
 
+class MemoryPressureLevel(IntEnum):
+    """What has to give way; each level holds for all below it too."""
+
+    NONE = 0
+    EVICT_CACHE = 1  # the proxy's own cached responses
+    CLOSE_IDLE = 2  # idle connections
+    FREEZE_NAMES = 3  # names that are not known yet, and half of those that are
+    LIMIT_CONNECTIONS = 4  # further client connections
+    REJECT = 5  # further requests
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPressure:
+    """The process has reached a level of memory use, or left one."""
+
+    level: MemoryPressureLevel
+
+
 Event = (
     EndpointUpdate
     | Request
@@ -218,5 +236,6 @@
     | QuotaRequested
     | QuotaReceived
     | OutlierReported
+    | MemoryPressure
     | Shutdown
 )
--- a/olivepost/interface/settings.py
+++ b/olivepost/interface/settings.py
@@ -81,3 +81,7 @@
     deadline_margin: int  # before a deadline, in which a final response must go out
     local_transfer_capacity: float = 0.0  # transfers at once on the proxy's own link; 0: it caches nothing
     shared_store_timeout: int = 0  # the longest that a request may wait for it; 0: there is none
+    # Bounds by the host's memory; 0: none beside the router's own.
+    max_names: int = 0
+    max_invalidations: int = 0
+    max_order_bytes: int = 0
--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -20,6 +20,9 @@
 MAX_LAGGING_RESPONSES = 3
 
 
+DEFAULT_MAX_RESPONSE_BYTES = 16_777_216  # of one response's body, where nobody names a bound
+
+
 class DiscoveryClient:
     """Follows a coordinator; while it can't be reached or understood, the last endpoint list stays in force.
 
@@ -36,6 +39,7 @@
         post: Callable[[DiscoveryEvent | DiscoveryHeartbeat], None],
         seed: int,
     ) -> None:
+        self.max_response_bytes = DEFAULT_MAX_RESPONSE_BYTES  # its owner may lower it before `start`
         self.clock = clock
         self.log = log
         self._post = post
@@ -72,8 +76,9 @@
             old_poll = self._long_poll
             if coordinator == self._address or old_poll is None:
                 return False
-            self._address = coordinator
+            # First: without a thread for the new poll the old one stays in force, and so does its address.
             self._long_poll = LongPoll(self, coordinator, self._random.random())
+            self._address = coordinator
         old_poll.stop()
         return True
 
@@ -84,14 +89,20 @@
                 return None
             return 0 if self._is_resyncing else self._last_index
 
-    def accept_response(self, long_poll: LongPoll, data: object) -> None:
-        """Applies the decoded body of a complete response; a ConfigError says what is wrong with it."""
+    def accept_response(self, long_poll: LongPoll, data: object) -> DiscoveryHeartbeat | None:
+        """Applies the decoded body of a complete response; a ConfigError says what is wrong with it.
+
+        Returns what the event loop marks once it has handled the response's events; None where it gets none.
+        """
         with self._lock:
             if long_poll is not self._long_poll:
-                return
+                return None
             self._apply(data)
-            if not (self._is_resyncing or self._lagging_responses):
-                self._post(DiscoveryHeartbeat())
+            if self._is_resyncing or self._lagging_responses:
+                return None
+            heartbeat = DiscoveryHeartbeat()
+            self._post(heartbeat)
+            return heartbeat
 
     def _apply(self, data: object) -> None:
         """Posts the events that are new, in order, or asks for all of them where some are missing."""
--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -12,6 +12,7 @@
 from olivepost.config import Address, ConfigError
 from olivepost.proxy import http1, sockets
 from olivepost.proxy.clock import Clock
+from olivepost.proxy.discovery.messages import DiscoveryHeartbeat
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.http1 import HttpError
 from olivepost.units import MILLISECOND, SECOND
@@ -32,7 +33,11 @@
 MAX_BACKOFF_S = 0.25
 MAX_BACKOFF_DOUBLINGS = 10
 MAX_HEAD_SIZE = 8_192  # bytes of a response's status line and headers
-MAX_BODY_SIZE = 16_777_216  # bytes of a response's body
+# For the event loop to handle a response's events before the next poll; a loop that is stuck for longer must
+# not end discovery.
+HANDLING_TIMEOUT_S = 1.0
+# Between two polls that are answered at once: a coordinator that never waits must not take the core.
+MIN_POLL_INTERVAL = 20 * MILLISECOND
 RECEIVE_SIZE = 65_536  # bytes of one read
 OK_STATUS = "200"
 
@@ -42,12 +47,13 @@
 
     clock: Clock
     log: EventLog
+    max_response_bytes: int
 
     def next_index(self, long_poll: LongPoll) -> int | None:
         """The index after which to poll; None where another long poll has taken over."""
 
-    def accept_response(self, long_poll: LongPoll, data: object) -> None:
-        """Takes over the decoded body of a complete response."""
+    def accept_response(self, long_poll: LongPoll, data: object) -> DiscoveryHeartbeat | None:
+        """Takes over the decoded body of a complete response; what is marked once its events are handled."""
 
 
 class LongPoll:
@@ -68,7 +74,8 @@
         self._is_lost = False  # whether the loss of the coordinator is logged
         self._lock = threading.Lock()
         self._sock: socket.socket | None = None
-        self._parser = _response_parser()
+        self._parser = self._new_parser()
+        self._polled_at = 0
         threading.Thread(target=self._run, name="discovery", daemon=True).start()
 
     def stop(self) -> None:
@@ -138,7 +145,7 @@
         )
         with self._lock:
             self._sock = sock
-            self._parser = _response_parser()
+            self._parser = self._new_parser()
 
     def _close_connection(self) -> None:
         with self._lock:
@@ -149,6 +156,7 @@
 
     def _poll(self, timeout: int) -> bool:
         """Polls once and hands the response over; returns whether the connection can be used again."""
+        self._wait_for_next_poll()
         sock = self._sock
         index = self._watch_state.next_index(self)
         if sock is None or index is None:
@@ -161,9 +169,23 @@
         status = response.start_line.status
         if status != OK_STATUS:
             raise ConnectionError(f"status {status}")
-        self._watch_state.accept_response(self, orjson.loads(response.body))
+        body = orjson.loads(response.body)
+        response.body = b""  # not held beside what was decoded from it
+        heartbeat = self._watch_state.accept_response(self, body)
+        if heartbeat is not None:
+            heartbeat.is_handled.wait(HANDLING_TIMEOUT_S)
         return response.keeps_alive
 
+    def _new_parser(self) -> http1.ResponseParser:
+        return http1.ResponseParser(MAX_HEAD_SIZE, self._watch_state.max_response_bytes)
+
+    def _wait_for_next_poll(self) -> None:
+        """Keeps two polls apart, by the time at which they were sent."""
+        remaining = self._polled_at + MIN_POLL_INTERVAL - self._clock.now()
+        if remaining > 0:
+            self._is_stopped.wait(remaining / SECOND)
+        self._polled_at = self._clock.now()
+
     def _receive_response(self, sock: socket.socket, deadline: int) -> http1.Message[http1.StatusLine]:
         while (response := self._parser.take()) is None:
             remaining = deadline - self._clock.now()
@@ -178,7 +200,3 @@
                 raise ConnectionError("closed by the coordinator")
             self._parser.feed(data)
         return response
-
-
-def _response_parser() -> http1.ResponseParser:
-    return http1.ResponseParser(MAX_HEAD_SIZE, MAX_BODY_SIZE)
--- a/olivepost/proxy/discovery/messages.py
+++ b/olivepost/proxy/discovery/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from dataclasses import dataclass
 
 from olivepost import interface as api
@@ -17,4 +18,13 @@
 
 
 class DiscoveryHeartbeat:
-    """The coordinator has answered a poll; the events of its response were posted before."""
+    """The coordinator has answered a poll; the events of its response were posted before.
+
+    The event loop sets `is_handled`: until then no further response is asked for, so that lists in a row
+    don't pile up before a loop that is busy.
+    """
+
+    __slots__ = ("is_handled",)
+
+    def __init__(self) -> None:
+        self.is_handled = threading.Event()
--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -8,11 +8,13 @@
 import threading
 import time
 
+from olivepost import interface as api
 from olivepost.config import Address
 from olivepost.proxy import sockets
 from olivepost.proxy.downstream.connection import DownstreamConnection
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.response_writer import ResponseWriters
+from olivepost.routing import memory_pressure
 from olivepost.units import MILLISECOND
 
 ACCEPT_STOP_TIMEOUT_S = 1.0  # seconds that the accept thread has to take what the kernel has accepted
@@ -23,6 +25,7 @@
 # A connection that was accepted, or became idle, less long ago is not evicted: its request may be on its way,
 # and a reset could overtake its response.
 MIN_IDLE_BEFORE_EVICTION_NS = 50 * MILLISECOND
+MAX_EVICTIONS_AT_ONCE = 8  # idle connections that one check under memory pressure closes
 # From this part of the cap on (1/4), connections without any request yet are a flood, which is waited out:
 # connections that have had requests are evicted only below it.
 UNUSED_FLOOD_DIVISOR = 4
@@ -45,6 +48,7 @@
         self._connections: set[DownstreamConnection] = set()
         self._acceptor: threading.Thread | None = None
         self._is_stopping = False
+        self._connection_limit = context.limits.max_client_connections
 
     @property
     def open_count(self) -> int:
@@ -82,6 +86,15 @@
         bound: Address = listener.getsockname()
         return bound
 
+    def give_way(self, level: api.MemoryPressureLevel) -> None:
+        """Follows a level of memory use: idle connections are closed, and fewer may be open."""
+        limit = memory_pressure.connection_limit(level, self.context.limits.max_client_connections)
+        self._connection_limit = limit
+        if level >= api.MemoryPressureLevel.CLOSE_IDLE:
+            for connection in self._eviction_candidates()[:MAX_EVICTIONS_AT_ONCE]:
+                if not connection.has_pending_response and connection.evict():
+                    self.context.log.increment("connections_evicted")
+
     def drain(self) -> None:
         """Begins the graceful shutdown: every response from now on ends its connection."""
         self.context.is_draining = True
@@ -116,12 +129,16 @@
             except OSError as error:
                 self._record_accept_failure(error)
                 continue
-            if self._slots.acquire(blocking=False) or self._wait_for_slot():
+            if self._has_room() or self._wait_for_slot():
                 self._start_connection(sock)
             else:
                 sock.close()
         listener.close()
 
+    def _has_room(self) -> bool:
+        """Takes a slot, if one is free and the present level of memory use allows one more connection."""
+        return self.open_count < self._connection_limit and self._slots.acquire(blocking=False)
+
     def _record_accept_failure(self, error: OSError) -> None:
         log = self.context.log
         log.increment("accept_failed")
@@ -140,8 +157,11 @@
         while not self._stopped.is_set():
             if any(connection.evict() for connection in self._eviction_candidates()):
                 log.increment("connections_evicted")
-            if self._slots.acquire(timeout=SLOT_RETRY_INTERVAL_S):
-                return True
+            if self.open_count < self._connection_limit:
+                if self._slots.acquire(timeout=SLOT_RETRY_INTERVAL_S):
+                    return True
+            else:
+                self._stopped.wait(SLOT_RETRY_INTERVAL_S)
         return False
 
     def _eviction_candidates(self) -> list[DownstreamConnection]:
--- a/olivepost/proxy/event_loop.py
+++ b/olivepost/proxy/event_loop.py
@@ -16,15 +16,25 @@
 from olivepost.proxy.event_queue import EventQueue
 from olivepost.proxy.exchange import Exchange, RequestAbandoned, RequestReceived, Response, ResponseKind
 from olivepost.proxy.exchange_lifecycle import ExchangeLifecycle
-from olivepost.proxy.messages import LoopEvent, ShutdownDeadline, StopEventLoop, StoreEvent
+from olivepost.proxy.messages import (
+    LoopEvent,
+    MemoryPressureReport,
+    ShutdownDeadline,
+    StopEventLoop,
+    StoreEvent,
+)
 from olivepost.proxy.pending_exchanges import PendingExchanges
-from olivepost.proxy.timers import TimerQueue
+from olivepost.proxy.timers import Timer, TimerQueue
+from olivepost.proxy.upstream.endpoint_address import EndpointAddress
 from olivepost.proxy.upstream.request import (
     UpstreamAborted,
     UpstreamCompleted,
     UpstreamRequest,
     UpstreamUnsent,
 )
+from olivepost.router import Router
+from olivepost.routing_state import Role
+from olivepost.routing_state.endpoint_table import role_of
 from olivepost.units import MILLISECOND, SECOND
 
 LATE_TIMER_AFTER = 5 * MILLISECOND  # a timer that fires later than this after it was due is counted
@@ -46,7 +56,7 @@
         self._upstream = resources.upstream
         self._shared_store = resources.shared_store
         self._pending = PendingExchanges()
-        self._timers = TimerQueue()
+        self._timers = TimerQueue(self._is_live)
         self._executor = ActionExecutor(resources, self._pending, self._timers, events.post)
         self._lifecycle = ExchangeLifecycle(resources, self._pending, self._executor)
         self._queue_delays = DelayHistogram()
@@ -56,6 +66,16 @@
         """Hands over an event; never waits."""
         self._events.post(event)
 
+    @property
+    def router(self) -> Router:
+        """The router, for its counts alone: this loop's thread drives it."""
+        return self._router
+
+    @property
+    def timer_count(self) -> int:
+        """Timers that are set, with those that nobody waits for any more."""
+        return len(self._timers)
+
     @property
     def pending_count(self) -> int:
         """Requests that are owed a response."""
@@ -133,6 +153,22 @@
         except Exception:  # the loop must go on for what is left
             self._logger.exception("event_loop_error", kind="shutdown")
 
+    def _usable_addresses(self, event: DiscoveryEvent, update: api.EndpointUpdate) -> list[EndpointAddress]:
+        """The addresses of endpoints that routing may use, and of those that are removed."""
+        settings = self._router.settings
+        return [
+            address
+            for address, metadata in zip(event.addresses, update.endpoints, strict=True)
+            if metadata.state is api.EndpointState.REMOVED
+            or role_of(settings, metadata) is not Role.OTHER_ZONE
+        ]
+
+    def _is_live(self, timer: Timer) -> bool:
+        """Whether anybody still waits for a timer."""
+        if timer.is_attempt_timeout:
+            return self._pending.attempt_of_timer(timer.timer_id) is not None
+        return timer.timer_id in self._router.timers
+
     def _fire_next(self, now: int) -> None:
         timer = self._timers.pop()
         if now - timer.due_at > LATE_TIMER_AFTER:
@@ -161,10 +197,19 @@
                 self._lifecycle.forward_deferred(event.request.exchange)
             case DiscoveryEvent():
                 self._handle_discovery(now, event)
+            case _:
+                self._handle_host_event(now, event)
+
+    def _handle_host_event(self, now: int, event: LoopEvent) -> None:
+        """What concerns the process as a whole rather than one request."""
+        match event:
             case DiscoveryHeartbeat():
                 self._lifecycle.discovery_heard_at = now
+                event.is_handled.set()
             case StoreEvent():
                 self._handle_store(now, event.event)
+            case MemoryPressureReport():
+                self._give_way(now, event.level)
             case ShutdownDeadline():
                 self._lifecycle.shutdown_at = event.deadline
 
@@ -180,6 +225,14 @@
             if self._shared_store is not None:
                 self._shared_store.notify(change)
 
+    def _give_way(self, now: int, level: api.MemoryPressureLevel) -> None:
+        """Frees what this thread owns, as far as the level asks for."""
+        if level >= api.MemoryPressureLevel.EVICT_CACHE:
+            self._response_cache.evict_half()
+        if level >= api.MemoryPressureLevel.CLOSE_IDLE:
+            self._upstream.close_idle()
+        self._executor.execute(self._router.handle(now, api.MemoryPressure(level)))
+
     def _handle_store(self, now: int, event: api.Event) -> None:
         """An event of the shared store; an invalidation counts as if service discovery had sent it."""
         if isinstance(event, api.Invalidation):
@@ -200,7 +253,7 @@
 
     def _update_endpoints(self, now: int, event: DiscoveryEvent, update: api.EndpointUpdate) -> None:
         is_complete = update.kind is not api.EndpointUpdateKind.INCREMENTAL
-        self._upstream.update(event.addresses, is_complete)
+        self._upstream.update(self._usable_addresses(event, update), is_complete)
         self._executor.execute(self._router.handle(now, update))
         if update.kind is not api.EndpointUpdateKind.RESTORED:
             states = Counter(address.state.name.lower() for address in event.addresses)
--- a/olivepost/proxy/http1.py
+++ b/olivepost/proxy/http1.py
@@ -161,7 +161,8 @@
         message = self._head
         if message is None or len(self._data) < self._body_length:
             return None
-        message.body = bytes(self._data[: self._body_length])
+        with memoryview(self._data) as data:
+            message.body = bytes(data[: self._body_length])
         del self._data[: self._body_length]
         self._head = None
         return message
--- /dev/null
+++ b/olivepost/proxy/memory_account.py
@@ -0,0 +1,48 @@
+"""What each owner of memory in the process holds, beside what the budget allows it; for the metrics."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from olivepost.config.limits import CLIENT_CONNECTION_BYTES, UPSTREAM_CONNECTION_BYTES
+from olivepost.config.memory_budget import INVALIDATION_BYTES, NAME_BYTES
+
+if TYPE_CHECKING:
+    from olivepost.proxy.server import ProxyServer
+
+PENDING_REQUEST_BYTES = 3_072  # with its exchange, its attempts and their records
+TIMER_BYTES = 220
+ENDPOINT_BYTES = 1_536  # in the router and in the connection pool
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerAccount:
+    """One owner's bytes: estimated from its entries, or counted where it counts them itself."""
+
+    used: int
+    allowed: int
+
+
+def memory_account(proxy: ProxyServer) -> dict[str, OwnerAccount]:
+    """All owners' accounts. Any thread may call it: it reads counts only."""
+    budget = proxy.config.limits.memory
+    loop = proxy.event_loop
+    state = loop.router.state
+    connections = (
+        proxy.downstream.open_count * CLIENT_CONNECTION_BYTES
+        + proxy.upstream.connection_count * UPSTREAM_CONNECTION_BYTES
+        + proxy.read_buffers.touched_bytes
+    )
+    bodies = proxy.body_buffers.touched_bytes + proxy.downstream.context.large_bodies.reserved_bytes
+    requests = loop.pending_count * PENDING_REQUEST_BYTES + loop.timer_count * TIMER_BYTES
+    return {
+        "connections": OwnerAccount(connections, budget.connections),
+        "bodies": OwnerAccount(bodies, budget.bodies),
+        "names": OwnerAccount(len(state.names) * NAME_BYTES, budget.names),
+        "requests": OwnerAccount(requests, budget.requests),
+        "endpoints": OwnerAccount(proxy.upstream.endpoint_count * ENDPOINT_BYTES, budget.endpoints),
+        "routes": OwnerAccount(state.orders.used_bytes, budget.routes),
+        "invalidations": OwnerAccount(len(state.invalidations) * INVALIDATION_BYTES, budget.invalidations),
+        "log": OwnerAccount(proxy.log.waiting_bytes, budget.log),
+    }
--- /dev/null
+++ b/olivepost/proxy/memory_monitor.py
@@ -0,0 +1,78 @@
+"""Watches the process's own memory as the platform counts it, and says at which level it gives way."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from collections.abc import Callable
+
+from olivepost import interface as api
+from olivepost.proxy.event_log import EventLog
+from olivepost.routing import memory_pressure
+from olivepost.units import MILLISECOND
+
+STATM = "/proc/self/statm"  # sizes in pages, the second one the resident set with mapped files
+STATM_BYTES = 128
+RESIDENT_FIELD = 1
+CHECK_INTERVAL = 100 * MILLISECOND
+# Under pressure what gave way shows late, and what comes on goes on.
+PRESSURE_CHECK_INTERVAL = 25 * MILLISECOND
+
+
+def resident_bytes_reader() -> Callable[[], int]:
+    """A function that reads the resident set in bytes; it returns 0 where the system does not tell."""
+    page_size = os.sysconf("SC_PAGE_SIZE")
+    try:
+        descriptor = os.open(STATM, os.O_RDONLY | os.O_CLOEXEC)
+    except OSError:
+        return lambda: 0
+
+    def read() -> int:
+        with contextlib.suppress(OSError, ValueError, IndexError):
+            return int(os.pread(descriptor, STATM_BYTES, 0).split()[RESIDENT_FIELD]) * page_size
+        return 0
+
+    return read
+
+
+class MemoryMonitor:
+    """The level of memory use.
+
+    The main thread calls `check`; any thread may read `level` and `used_bytes`.
+    """
+
+    def __init__(
+        self,
+        limit_bytes: int,
+        log: EventLog,
+        on_level: Callable[[api.MemoryPressureLevel], None],
+        read_resident_bytes: Callable[[], int] | None = None,
+    ) -> None:
+        self.level = api.MemoryPressureLevel.NONE
+        self.used_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._log = log
+        self._on_level = on_level
+        self.read_resident_bytes = read_resident_bytes or resident_bytes_reader()
+
+    @property
+    def interval(self) -> int:
+        """Nanoseconds until the next check."""
+        return PRESSURE_CHECK_INTERVAL if self.level else CHECK_INTERVAL
+
+    def check(self) -> None:
+        """Reads the memory in use; reports each change of the level, and each check under pressure."""
+        self.used_bytes = self.read_resident_bytes()
+        previous = self.level
+        self.level = memory_pressure.level_for(self.used_bytes, self._limit_bytes, previous)
+        if self.level is not previous:
+            self._log.increment(f"memory_pressure_{self.level.name.lower()}")
+            self._log.sampled_event(
+                "memory_pressure",
+                level=self.level.name.lower(),
+                previous=previous.name.lower(),
+                used_kb=self.used_bytes >> 10,
+                limit_kb=self._limit_bytes >> 10,
+            )
+        if self.level or previous:
+            self._on_level(self.level)
--- a/olivepost/proxy/messages.py
+++ b/olivepost/proxy/messages.py
@@ -25,6 +25,13 @@
     deadline: int  # nanoseconds on the proxy's clock
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryPressureReport:
+    """The process is at a level of memory use; sent again and again while it is."""
+
+    level: api.MemoryPressureLevel
+
+
 @dataclass(slots=True)
 class StoreEvent:
     """An event of the shared store for the router."""
@@ -41,6 +48,7 @@
     | DiscoveryEvent
     | DiscoveryHeartbeat
     | StoreEvent
+    | MemoryPressureReport
     | ShutdownDeadline
     | StopEventLoop
 )
--- a/olivepost/proxy/metrics.py
+++ b/olivepost/proxy/metrics.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from olivepost.proxy import invariants
+from olivepost.proxy.memory_account import memory_account
 
 if TYPE_CHECKING:
     from olivepost.proxy.server import ProxyServer
@@ -30,6 +31,10 @@
         "cpu_s": [round(user_cpu_s, 1), round(system_cpu_s, 1)],
         "descriptors": count_descriptors(),
         **read_process_status(),
+        "memory_by_owner": {
+            owner: [account.used, account.allowed] for owner, account in memory_account(proxy).items()
+        },
+        "memory_level": proxy.memory_monitor.level.name.lower(),
         "body_buffers": proxy.body_buffers.in_use,
         "peak_body_buffers": proxy.body_buffers.peak,
         "read_buffers": proxy.read_buffers.in_use,
--- a/olivepost/proxy/response_cache.py
+++ b/olivepost/proxy/response_cache.py
@@ -77,6 +77,11 @@
             if is_covered and entry.generated_at <= generated_before:
                 self._evict(key)
 
+    def evict_half(self) -> None:
+        """Evicts the half that was used longest ago."""
+        for key in list(self._entries)[: (len(self._entries) + 1) // 2]:
+            self._evict(key)
+
     def clear(self) -> None:
         """Evicts everything."""
         for key in list(self._entries):
--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from olivepost import __version__
+from olivepost import interface as api
 from olivepost.config import Address, ConfigError, ProxyConfig, keys_needing_restart
 from olivepost.proxy.buffers import BufferPool
 from olivepost.proxy.clock import Clock
@@ -20,7 +21,8 @@
 from olivepost.proxy.event_loop import EventLoop
 from olivepost.proxy.event_loop_resources import EventLoopResources
 from olivepost.proxy.event_queue import EventQueue
-from olivepost.proxy.messages import StoreEvent
+from olivepost.proxy.memory_monitor import MemoryMonitor
+from olivepost.proxy.messages import MemoryPressureReport, StoreEvent
 from olivepost.proxy.metrics import collect_metrics
 from olivepost.proxy.response_cache import ResponseCache
 from olivepost.proxy.shutdown import GracefulShutdown
@@ -70,7 +72,7 @@
         self._source = source or ConfigurationSource(lambda: config, lambda: operator)
         self._wait_for_signal = wait_for_signal
         self.clock = Clock()
-        self.log = EventLog(self.clock, config.name, limits.max_log_bytes, log_descriptor)
+        self.log = EventLog(self.clock, config.name, limits.memory.log, log_descriptor)
         # Apart from each other, so that bodies which clients hold can't keep sockets from being read.
         self.body_buffers = BufferPool(limits.body_buffers, limits.buffer_size)
         self.read_buffers = BufferPool(limits.read_buffers, limits.buffer_size)
@@ -85,8 +87,10 @@
             )
         )
         self.discovery = DiscoveryClient(config.coordinator, self.clock, self.log, events.post, config.seed)
+        self.discovery.max_response_bytes = limits.memory.max_discovery_response
         self.shared_store = self._make_store(events)
         self.event_loop = self._make_event_loop(events)
+        self.memory_monitor = MemoryMonitor(limits.memory.limit, self.log, self._give_way)
 
     def _make_store(self, events: EventQueue) -> StoreHost | None:
         """The shared store's host, if the operator wants one; otherwise nothing of it is even imported."""
@@ -104,7 +108,13 @@
         )
 
     def _make_event_loop(self, events: EventQueue) -> EventLoop:
-        settings = self.config.settings
+        budget = self.config.limits.memory
+        settings = replace(
+            self.config.settings,
+            max_names=budget.max_names,
+            max_invalidations=budget.max_invalidations,
+            max_order_bytes=budget.routes,
+        )
         if self._operator is not None and self._operator.sharing is not None:
             settings = replace(settings, shared_store_timeout=self._operator.sharing.wait)
         resources = EventLoopResources(
@@ -127,6 +137,8 @@
         if self.shared_store is not None:
             self.shared_store.start()
         self.discovery.start(self.config.known_events)
+        # The decoded list is several times as large as what the endpoint tables make of it.
+        self.config = replace(self.config, known_events=None)
         address = self.downstream.listen(self.config.listen)
         host, port = address
         self.log.event("started", version=__version__, listen=f"{host}:{port}")
@@ -138,18 +150,35 @@
         while self._wait_until(metrics_due_at) is not SignalRequest.SHUT_DOWN:
             if self.clock.now() >= metrics_due_at:
                 self.log_metrics()
-                metrics_due_at += METRICS_INTERVAL
+                metrics_due_at = self.clock.now() + METRICS_INTERVAL
         self.shut_down()
 
     def _wait_until(self, until: int) -> SignalRequest | None:
-        """Waits for one signal until a time; a reload is carried out here."""
-        request = self._wait_for_signal(max(0, until - self.clock.now()))
-        if request is SignalRequest.RELOAD:
-            try:
-                self.reload()
-            except Exception:  # no configuration may end a proxy that runs
-                self.log.exception("reload_error")
-        return request
+        """Waits for one signal until a time, and watches the memory; a reload is carried out here."""
+        while True:
+            now = self.clock.now()
+            check_at = min(until, now + self.memory_monitor.interval)
+            request = self._wait_for_signal(max(0, check_at - now))
+            if request is SignalRequest.RELOAD:
+                self._try(self.reload, "reload_error")
+            self._try(self.memory_monitor.check, "memory_monitor_error")
+            if request is not None or self.clock.now() >= until:
+                return request
+
+    def _try(self, step: Callable[[], None], error_event: str) -> None:
+        """Carries out a step of the main thread, whose faults must not end a proxy that runs."""
+        try:
+            step()
+        except Exception:  # whatever it is, what is pending is still owed
+            self.log.exception(error_event)
+
+    def _give_way(self, level: api.MemoryPressureLevel) -> None:
+        """Has each owner of memory give way as the level asks for; called by the memory monitor."""
+        self.event_loop.post(MemoryPressureReport(level))
+        self.downstream.give_way(level)
+        if level >= api.MemoryPressureLevel.EVICT_CACHE:
+            self.body_buffers.trim()
+            self.read_buffers.trim()
 
     def reload(self) -> None:
         """Reads the configuration again; a faulty one leaves everything as it was."""
@@ -175,7 +204,7 @@
 
     def log_metrics(self) -> None:
         """Logs one `metrics` event."""
-        self.log.event("metrics", **collect_metrics(self))
+        self._try(lambda: self.log.event("metrics", **collect_metrics(self)), "metrics_error")
 
 
 def serve(
--- a/olivepost/proxy/timers.py
+++ b/olivepost/proxy/timers.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from heapq import heappop, heappush
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
+# Timers that nobody waits for any more, beside as many as there are live ones, before they are removed.
+MAX_STALE_TIMERS = 1_024
+
 
 class Timer(NamedTuple):
     """One timer; those that are due at one time fire in the order in which they were set."""
@@ -18,12 +22,18 @@
 class TimerQueue:
     """Timers by due time. Only the event loop's thread calls this.
 
-    A timer is never removed before it is due: whoever no longer needs it ignores its id.
+    Whoever no longer needs a timer ignores its id. Such timers leave the queue when they are due, or once
+    they outnumber those that `is_live` still knows.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_live: Callable[[Timer], bool]) -> None:
+        self._is_live = is_live
         self._heap: list[Timer] = []
         self._sequence = 0
+        self._next_cleaning = MAX_STALE_TIMERS  # length at which stale timers are looked for
+
+    def __len__(self) -> int:
+        return len(self._heap)
 
     @property
     def next_due_at(self) -> int | None:
@@ -39,7 +49,14 @@
         """Sets a timer."""
         self._sequence += 1
         heappush(self._heap, Timer(due_at, self._sequence, timer_id, is_attempt_timeout))
+        if len(self._heap) > self._next_cleaning:
+            self._remove_stale()
 
     def pop(self) -> Timer:
         """Removes and returns the timer that is due next."""
         return heappop(self._heap)
+
+    def _remove_stale(self) -> None:
+        self._heap = [timer for timer in self._heap if self._is_live(timer)]
+        heapify(self._heap)
+        self._next_cleaning = 2 * len(self._heap) + MAX_STALE_TIMERS
--- a/olivepost/proxy/upstream/pool.py
+++ b/olivepost/proxy/upstream/pool.py
@@ -66,6 +66,23 @@
                 return
         self._forward_on_new_connection(request, endpoint)
 
+    def close_idle(self) -> None:
+        """Drain the connections that have no pending request."""
+        for endpoint in self._endpoints.values():
+            for connection in endpoint.connections:
+                if not connection.pending_count:
+                    connection.drain()
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that may hold a descriptor; any thread."""
+        return len(self._connections)
+
+    @property
+    def endpoint_count(self) -> int:
+        """Endpoints of the list; any thread."""
+        return len(self._endpoints)
+
     def close(self) -> None:
         """Drain all connections."""
         for endpoint_id in list(self._endpoints):
--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -9,7 +9,16 @@
 from functools import partial
 
 from olivepost import interface as api
-from olivepost.routing import adaptive_ttl, admission, hints, invalidation, outcomes, retries, selection
+from olivepost.routing import (
+    adaptive_ttl,
+    admission,
+    hints,
+    invalidation,
+    memory_pressure,
+    outcomes,
+    retries,
+    selection,
+)
 from olivepost.routing_state import (
     Attempt,
     ExecutedAttempt,
@@ -56,6 +65,9 @@
         last_moment = max(0, timeout - self._settings.deadline_margin)
         give_up = partial(self.give_up, pending=pending, reason=api.GiveUpReason.DEADLINE)
         self._set_timer(last_moment, give_up, pending)
+        if memory_pressure.must_reject(self._state):
+            self.give_up(now, pending, api.GiveUpReason.MEMORY)
+            return
         is_full = selection.all_caches_full(self._state, now, name)
         admission.record_sample(
             self._state.arrivals, admission.ARRIVAL_STEP, admission.ARRIVAL_TARGET, is_full
--- a/olivepost/router.py
+++ b/olivepost/router.py
@@ -8,7 +8,7 @@
 
 from olivepost import interface as api
 from olivepost.request_lifecycle import RequestLifecycle
-from olivepost.routing import capacity, health, retries
+from olivepost.routing import capacity, health, memory_pressure, retries
 from olivepost.routing.initial_state import initial_state
 from olivepost.routing_state import QuotaTransfer, TimerCallback, TimerTable
 from olivepost.routing_state.quota_keys import RETRY_KEY, endpoint_id_of
@@ -41,6 +41,8 @@
                 self.requests.start_response(event.request_id)
             case api.ClientDisconnected():
                 self.requests.forget(now, event.request_id)
+            case api.MemoryPressure():
+                memory_pressure.apply(self.state, event.level)
             case api.Shutdown():
                 self.requests.give_up_all(now)
             case _:
--- a/olivepost/routing/adaptive_ttl.py
+++ b/olivepost/routing/adaptive_ttl.py
@@ -1,6 +1,7 @@
 """f-TTL ("Adaptive TTL-Based Caching for Content Delivery"; docs/design.md): levels per class, and ranks."""
 
 from olivepost import interface as api
+from olivepost.routing import memory_pressure
 from olivepost.routing_state import ClassLevels, NameEntry, PendingRequest, RoutingState
 from olivepost.units import SECOND
 
@@ -51,7 +52,8 @@
         rank = RANK_MIDDLE
     else:
         rank = RANK_LOW
-    state.names.put(name, NameEntry(now + int(lifetime(levels)), rank, request.size_kb or 1.0))
+    if remaining is not None or memory_pressure.accepts_new_names(state):
+        state.names.put(name, NameEntry(now + int(lifetime(levels)), rank, request.size_kb or 1.0))
     return rank, remaining
 
 
--- a/olivepost/routing/initial_state.py
+++ b/olivepost/routing/initial_state.py
@@ -1,7 +1,7 @@
 """The state with which a router starts."""
 
 from olivepost import interface as api
-from olivepost.routing import adaptive_ttl, capacity, health, invalidation, outcomes, retries
+from olivepost.routing import adaptive_ttl, capacity, health, invalidation, outcomes, retries, selection
 from olivepost.routing_state import ClassLevels, RoutingState, Tuning
 
 
@@ -10,8 +10,13 @@
     tuning = Tuning(
         initial_levels=ClassLevels(adaptive_ttl.INITIAL_LEVEL, adaptive_ttl.INITIAL_FIRST_SEEN_LEVEL),
         ranks=adaptive_ttl.RANK_TOP + 1,
-        max_names=adaptive_ttl.MAX_NAMES,
-        max_invalidations=invalidation.MAX_INVALIDATIONS,
+        max_names=min(adaptive_ttl.MAX_NAMES, settings.max_names or adaptive_ttl.MAX_NAMES),
+        max_invalidations=min(
+            invalidation.MAX_INVALIDATIONS, settings.max_invalidations or invalidation.MAX_INVALIDATIONS
+        ),
+        max_order_bytes=settings.max_order_bytes or selection.MAX_ORDER_BYTES,
+        order_entry_bytes=selection.ORDER_ENTRY_BYTES,
+        order_reference_bytes=selection.ORDER_REFERENCE_BYTES,
         work_step=capacity.WORK_STEP,
         rate_memory=capacity.RATE_MEMORY,
         share_step=outcomes.SHARE_STEP,
--- a/olivepost/routing/selection.py
+++ b/olivepost/routing/selection.py
@@ -1,21 +1,22 @@
 """Endpoint selection: rendezvous hashing over the listed endpoints, past those that can't take more."""
 
-from functools import lru_cache
 from hashlib import blake2b
 from zlib import crc32
 
 from olivepost import interface as api
 from olivepost.routing import capacity, health
-from olivepost.routing_state import Endpoint, PendingRequest, Route, RoutingState
+from olivepost.routing_state import Endpoint, PendingRequest, Role, Route, RoutingState
 from olivepost.routing_state.quota_keys import concurrency_key, slow_start_key
 
-MAX_CACHED_ORDERS = 16_384
+# Computed orders, where the host names no bound; what one takes beside its references, and for each of these.
+MAX_ORDER_BYTES = 8_388_608
+ORDER_ENTRY_BYTES = 320
+ORDER_REFERENCE_BYTES = 8
 SHED_FROM = 0.2  # late share beyond the best peer's, from which an endpoint sheds names,
 SHED_RANGE = 0.4  # over which it would shed all,
 MAX_SHED_SHARE = 0.9  # and what it sheds at most
 
 
-@lru_cache(MAX_CACHED_ORDERS)
 def rendezvous_order(name: str, endpoint_ids: tuple[str, ...]) -> tuple[str, ...]:
     """The endpoints for a name by their hashes, its home first."""
     return tuple(
@@ -23,9 +24,19 @@
     )
 
 
+def _order(state: RoutingState, name: str, role: Role) -> tuple[str, ...]:
+    """The order of a tier's ready endpoints for a name, computed once in a while."""
+    endpoint_ids = state.endpoints.caches if role is Role.CACHE else state.endpoints.parents
+    order = state.orders.get(role, endpoint_ids, name)
+    if order is None:
+        order = rendezvous_order(name, endpoint_ids)
+        state.orders.put(role, name, order)
+    return order
+
+
 def all_caches_full(state: RoutingState, now: int, name: str) -> bool:
     """Whether every available cache has reached its concurrency limit."""
-    for endpoint_id in rendezvous_order(name, state.endpoints.caches):
+    for endpoint_id in _order(state, name, Role.CACHE):
         endpoint = state.endpoints.by_id[endpoint_id]
         if health.is_available(endpoint, now) and _is_below_limit(state, now, endpoint):
             return False
@@ -46,7 +57,7 @@
         is_able = is_able and capacity.has_slow_start_budget(state, now, endpoint, work)
         if is_able and hint.cache not in pending.avoided:
             return hint.cache
-    return _select(state, now, state.endpoints.caches, pending)
+    return _select(state, now, Role.CACHE, pending)
 
 
 def select_route(state: RoutingState, now: int, pending: PendingRequest) -> Route:
@@ -54,7 +65,7 @@
     cache = _select_cache(state, now, pending)
     if cache is not None and _is_lookup_only(state, now, pending, cache):
         return Route(cache, cache)
-    source = _select(state, now, state.endpoints.parents, pending) or state.endpoints.origin
+    source = _select(state, now, Role.PARENT, pending) or state.endpoints.origin
     if cache is None and state.settings.allows_direct_forwarding and source:
         return Route(source, state.endpoints.origin or source)  # departure: straight to a parent
     return Route(cache, source or cache or "")
@@ -75,9 +86,9 @@
     return is_warm and pending.attempt_count + 1 < state.settings.max_attempts
 
 
-def _select(state: RoutingState, now: int, ids: tuple[str, ...], pending: PendingRequest) -> str | None:
+def _select(state: RoutingState, now: int, role: Role, pending: PendingRequest) -> str | None:
     """The first available endpoint below its limits; with none, the first that may be used at all."""
-    order = rendezvous_order(pending.name, ids)
+    order = _order(state, pending.name, role)
     if not order:
         return None
     work = state.mean_work(pending.request_class)
--- a/olivepost/routing_state/__init__.py
+++ b/olivepost/routing_state/__init__.py
@@ -6,6 +6,7 @@
 from olivepost.routing_state.invalidation_table import InvalidationTable
 from olivepost.routing_state.levels import ClassLevels, OverloadLevel
 from olivepost.routing_state.name_table import ExpiringNameTable, NameEntry
+from olivepost.routing_state.order_cache import OrderCache
 from olivepost.routing_state.pending_request import (
     Attempt,
     ExecutedAttempt,
@@ -32,6 +33,7 @@
     "MovingAverage",
     "MovingAverages",
     "NameEntry",
+    "OrderCache",
     "OverloadLevel",
     "PendingRequest",
     "PossibleFault",
--- a/olivepost/routing_state/name_table.py
+++ b/olivepost/routing_state/name_table.py
@@ -3,29 +3,44 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush, heapreplace
 
-HEAP_SLACK = 4  # superseded heap entries, in multiples of the capacity, before the heap is rebuilt
 
-
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class NameEntry:
-    """When a name expires, and the rank and size with which it was last requested."""
+    """When a name expires, and the rank and size with which it was last requested.
+
+    `queued_at` belongs to the table: the time under which the name stands in its queue.
+    """
 
     expires_at: int
     rank: int
     size: float
+    queued_at: int = 0
 
 
 class ExpiringNameTable:
-    """Names by expiry; over capacity, the name that expires first is evicted. Not thread-safe."""
+    """Names by expiry; over capacity, the name that expires first is evicted. Not thread-safe.
+
+    A name that is renewed stays in the queue under its earlier time, and moves on once that has come: one
+    queue entry a name, however often it is renewed. A name whose lifetime became shorter is queued again;
+    what it leaves behind is removed once it is as much as there are names.
+    """
 
     def __init__(self, capacity: int, ranks: int) -> None:
-        self._capacity = capacity
+        self.capacity = capacity  # names that it may hold
         self._entries: dict[str, NameEntry] = {}
-        self._expiries: list[tuple[int, str]] = []
+        self._queue: list[tuple[int, str]] = []
         self._bytes_by_rank = [0.0] * ranks
 
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def queue_length(self) -> int:
+        """Entries of the queue, with those of names that were queued again."""
+        return len(self._queue)
+
     def remaining(self, now: int, name: str) -> int | None:
         """Time until the name expires; None where it is not in the table."""
         self._evict(now)
@@ -44,21 +59,49 @@
 
     def put(self, name: str, entry: NameEntry) -> None:
         """Inserts a name or replaces its entry."""
-        self._remove(name)
-        self._entries[name] = entry
+        known = self._entries.get(name)
+        if known is None:
+            self._bytes_by_rank[entry.rank] += entry.size
+            self._entries[name] = entry
+            self._enqueue(name, entry)
+            return
+        self._bytes_by_rank[known.rank] -= known.size
         self._bytes_by_rank[entry.rank] += entry.size
-        heappush(self._expiries, (entry.expires_at, name))
-        if len(self._expiries) > HEAP_SLACK * self._capacity:
-            self._expiries = sorted((kept.expires_at, known) for known, kept in self._entries.items())
+        known.expires_at = entry.expires_at
+        known.rank = entry.rank
+        known.size = entry.size
+        if known.expires_at < known.queued_at:
+            self._enqueue(name, known)
+
+    def shrink(self, names: int) -> None:
+        """Evicts the names that expire first, down to so many; the capacity stays."""
+        while len(self._entries) > names:
+            self._evict_first()
+
+    def _enqueue(self, name: str, entry: NameEntry) -> None:
+        entry.queued_at = entry.expires_at
+        heappush(self._queue, (entry.queued_at, name))
+        if len(self._queue) > 2 * self.capacity:
+            self._queue = [(kept.queued_at, known) for known, kept in self._entries.items()]
+            heapify(self._queue)
 
     def _evict(self, now: int) -> None:
-        while self._expiries and (self._expiries[0][0] <= now or len(self._entries) > self._capacity):
-            expires_at, name = heappop(self._expiries)
-            entry = self._entries.get(name)
-            if entry is not None and entry.expires_at == expires_at:
-                self._remove(name)
+        while self._queue and (self._queue[0][0] <= now or len(self._entries) > self.capacity):
+            self._evict_first()
+
+    def _evict_first(self) -> None:
+        """Moves the first entry of the queue on to where it belongs, or removes it and its name."""
+        queued_at, name = self._queue[0]
+        entry = self._entries.get(name)
+        if entry is None or entry.queued_at != queued_at:
+            heappop(self._queue)  # the name was queued again, or is gone
+        elif entry.expires_at > queued_at:
+            entry.queued_at = entry.expires_at
+            heapreplace(self._queue, (entry.queued_at, name))
+        else:
+            heappop(self._queue)
+            self._remove(name)
 
     def _remove(self, name: str) -> None:
-        entry = self._entries.pop(name, None)
-        if entry is not None:
-            self._bytes_by_rank[entry.rank] -= entry.size
+        entry = self._entries.pop(name)
+        self._bytes_by_rank[entry.rank] -= entry.size
--- a/olivepost/routing_state/routing_state.py
+++ b/olivepost/routing_state/routing_state.py
@@ -12,6 +12,7 @@
 from olivepost.routing_state.invalidation_table import InvalidationTable
 from olivepost.routing_state.levels import ClassLevels, OverloadLevel
 from olivepost.routing_state.name_table import ExpiringNameTable
+from olivepost.routing_state.order_cache import OrderCache
 from olivepost.routing_state.quota_ledger import QuotaLedger
 from olivepost.units import SECOND
 
@@ -24,6 +25,9 @@
     ranks: int
     max_names: int
     max_invalidations: int
+    max_order_bytes: int
+    order_entry_bytes: int
+    order_reference_bytes: int
     work_step: float
     rate_memory: int  # ns
     share_step: float
@@ -44,7 +48,9 @@
         "invalidations",
         "is_store_available",
         "levels",
+        "memory_pressure",
         "names",
+        "orders",
         "quotas",
         "random",
         "request_fault_share",
@@ -63,6 +69,10 @@
         self.levels = {name: replace(tuning.initial_levels) for name in settings.classes}
         self.names = ExpiringNameTable(tuning.max_names, tuning.ranks)
         self.invalidations = InvalidationTable(tuning.max_invalidations)
+        self.orders = OrderCache(
+            tuning.max_order_bytes, tuning.order_entry_bytes, tuning.order_reference_bytes
+        )
+        self.memory_pressure = api.MemoryPressureLevel.NONE
         self.arrivals = OverloadLevel()
         self.fills = OverloadLevel()
         self.quotas = QuotaLedger()
--- a/olivepost/routing_state/timer_table.py
+++ b/olivepost/routing_state/timer_table.py
@@ -17,6 +17,9 @@
     def __len__(self) -> int:
         return len(self._callbacks)
 
+    def __contains__(self, timer_id: int) -> bool:
+        return timer_id in self._callbacks
+
     def add(self, callback: TimerCallback) -> int:
         """Registers a callback and returns its timer id."""
         self._last_id += 1
--- /dev/null
+++ b/tests/proxy/test_memory_monitor.py
@@ -0,0 +1,182 @@
+"""Memory pressure: the levels, and what gives way at each of them."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from olivepost import interface as api
+from olivepost.interface import MemoryPressureLevel as Level
+from olivepost.proxy.clock import Clock
+from olivepost.proxy.event_log import EventLog
+from olivepost.proxy.memory_account import memory_account
+from olivepost.proxy.memory_monitor import (
+    CHECK_INTERVAL,
+    PRESSURE_CHECK_INTERVAL,
+    MemoryMonitor,
+    resident_bytes_reader,
+)
+from tests.proxy.fakes import HeldReplies
+from tests.rig import Client, Rig, rig
+
+LIMIT = 100_000_000
+
+
+class FakeMemory:
+    """A monitor whose memory in use is what the test says."""
+
+    def __init__(self) -> None:
+        self.used = 0
+        self.levels: list[Level] = []
+        self._descriptor = os.open(os.devnull, os.O_WRONLY)
+        self.log = EventLog(Clock(), "n1", descriptor=self._descriptor)
+        self.monitor = MemoryMonitor(LIMIT, self.log, self.levels.append, lambda: self.used)
+
+    def at(self, share: float) -> Level:
+        """The level at a share of the limit."""
+        self.used = int(share * LIMIT)
+        self.monitor.check()
+        return self.monitor.level
+
+
+@pytest.mark.parametrize(
+    ("share", "level"),
+    [
+        (0.5, Level.NONE),
+        (0.81, Level.EVICT_CACHE),
+        (0.85, Level.CLOSE_IDLE),
+        (0.88, Level.FREEZE_NAMES),
+        (0.91, Level.LIMIT_CONNECTIONS),
+        (0.94, Level.REJECT),
+        (1.2, Level.REJECT),
+    ],
+)
+def test_level_follows_the_share_of_the_limit(share: float, level: Level) -> None:
+    assert FakeMemory().at(share) is level
+
+
+def test_level_is_left_a_little_below_where_it_was_reached() -> None:
+    memory = FakeMemory()
+    assert [memory.at(share) for share in (0.94, 0.92, 0.90, 0.87, 0.5)] == [
+        Level.REJECT,
+        Level.REJECT,
+        Level.LIMIT_CONNECTIONS,
+        Level.FREEZE_NAMES,
+        Level.NONE,
+    ]
+    assert memory.levels[-1] is Level.NONE
+    assert memory.log.counters()["memory_pressure_reject"] == 1
+
+
+def test_memory_is_checked_more_often_under_pressure() -> None:
+    memory = FakeMemory()
+    memory.at(0.5)
+    assert (memory.monitor.interval, memory.levels) == (CHECK_INTERVAL, [])
+    memory.at(0.9)
+    memory.at(0.9)
+    assert memory.monitor.interval == PRESSURE_CHECK_INTERVAL
+    assert memory.levels == [Level.LIMIT_CONNECTIONS] * 2
+
+
+def test_resident_memory_of_this_process_is_read() -> None:
+    read = resident_bytes_reader()
+    before = read()
+    held = bytearray(b"x") * 30_000_000
+    assert read() - before > 20_000_000
+    assert held
+
+
+def press(made: Rig, share: float) -> None:
+    """Has the proxy find so much of its memory in use, as its main thread does."""
+    limit = made.proxy.config.limits.memory.limit
+    made.proxy.memory_monitor.read_resident_bytes = lambda: int(share * limit)
+    made.proxy.memory_monitor.check()
+
+
+def test_own_cache_gives_way_first() -> None:
+    with rig(flow_bytes_per_s=1_000_000, link_bytes_per_s=8_000_000) as made, made.client() as client:
+        for piece in (0, 1, 2, 3) * 2:  # the second response of a name is stored
+            assert client.ask(piece=piece)[0] == 200
+        assert made.until(lambda: len(made.proxy.response_cache) == 4)
+        press(made, 0.81)
+        assert made.until(lambda: len(made.proxy.response_cache) == 2)
+        press(made, 0.81)
+        press(made, 0.81)
+        assert made.until(lambda: len(made.proxy.response_cache) == 0)
+        assert client.ask()[0] == 200  # requests and connections go on
+        assert made.until(lambda: made.proxy.body_buffers.in_use <= 60)
+        press(made, 0.81)
+        assert made.until(lambda: made.proxy.body_buffers.touched_bytes < 300_000)
+
+
+def test_idle_connections_are_closed_under_pressure_and_busy_ones_kept() -> None:
+    held = HeldReplies()
+    with rig(held) as made, made.client() as busy, made.client() as idle:
+        idle.send(b"GET /-/healthy HTTP/1.1\r\n\r\n")
+        assert idle.read()[0] == 200
+        busy.send(Client.request(patience=15_000))
+        made.fetches()
+        assert made.until(lambda: press_until_evicted(made))
+        assert idle.closed()
+        held.gate.set()
+        assert busy.read()[0] == 200
+
+
+def press_until_evicted(made: Rig) -> bool:
+    """Whether a connection was closed: one that was just used is left alone for a while."""
+    press(made, 0.85)
+    return made.counted("connections_evicted") > 0
+
+
+def test_requests_are_rejected_at_once_close_to_the_limit_and_served_again_below() -> None:
+    with rig() as made, made.client() as client:
+        press(made, 0.95)
+        status, headers, _ = client.ask()
+        assert status == 503
+        assert int(headers["x-come-back-ms"]) > 0
+        assert made.counted("given_up_memory") == 1
+        press(made, 0.5)
+        assert client.ask()[0] == 200
+
+
+def test_names_are_frozen_and_halved_under_pressure() -> None:
+    with rig() as made, made.client() as client:
+        for piece in range(8):
+            client.ask(piece=piece)
+        names = made.proxy.event_loop.router.state.names
+        capacity = names.capacity
+        names.capacity = 8
+        press(made, 0.88)
+        assert made.until(lambda: len(names) == 4)
+        client.ask(piece=20)
+        assert len(names) <= 4
+        names.capacity = capacity
+        press(made, 0.5)
+        assert client.ask(piece=21)[0] == 200
+        assert made.until(lambda: len(names) > 4 or made.proxy.memory_monitor.level is Level.NONE)
+
+
+def test_client_over_the_lowered_connection_limit_waits_for_a_place() -> None:
+    with rig(limits={"sockets": 64, "memory_mb": 64}) as made:
+        half = made.proxy.config.limits.max_client_connections // 2
+        clients = [made.client() for _ in range(half + 2)]
+        for client in clients:
+            assert client.ask()[0] == 200
+        press(made, 0.91)
+        made.proxy.downstream.give_way(Level.LIMIT_CONNECTIONS)
+        with made.client() as late:
+            late.send(Client.request(patience=15_000))
+            assert late.read()[0] == 200
+        for client in clients:
+            client.sock.close()
+
+
+def test_account_names_every_owner_within_what_it_may_take() -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+        account = memory_account(made.proxy)
+    assert set(account) >= {"connections", "bodies", "names", "requests", "endpoints", "routes", "log"}
+    assert all(owner.used <= owner.allowed for owner in account.values())
+    assert account["names"].used > 0
+    assert api.MemoryPressure(Level.NONE).level == 0
--- a/tests/proxy/test_upstream_rules.py
+++ b/tests/proxy/test_upstream_rules.py
@@ -8,6 +8,7 @@
 
 from olivepost import interface as api
 from olivepost.config import ResourceLimits
+from olivepost.config.memory_budget import MemoryBudget
 from olivepost.proxy.buffers import BufferPool, PooledBody
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.event_log import EventLog
@@ -23,6 +24,7 @@
 START = 1_764_576_000 * SECOND
 LIMITS = ResourceLimits(
     memory_mb=64,
+    memory=MemoryBudget.of_limit(64),
     max_sockets=64,
     max_client_connections=8,
     max_connections_per_endpoint=3,
