--- a/olivepost/cli.py
+++ b/olivepost/cli.py
@@ -199,8 +199,12 @@
 
 
 def _serve(line: CommandLine) -> int:
+    from olivepost.proxy.signals import SignalListener
+
+    signals = SignalListener()  # first: a signal that comes during the start must not end the process
     operator = line.load_operator()
-    config = line.load_config()
-    from olivepost.proxy.server import serve
+    from olivepost.proxy.server import ConfigurationSource, serve
 
-    return serve(config, line.load_config, operator, line.load_operator)
+    return serve(
+        line.load_config(), signals, ConfigurationSource(line.load_config, line.load_operator), operator
+    )
--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -56,7 +56,7 @@
         """Applies the events of the configuration, if any, then follows the coordinator from there."""
         with self._lock:
             if known is not None:
-                self._apply(known)
+                self._apply(known, is_live=False)
             self._long_poll = LongPoll(self, self._address, self._random.random())
 
     def stop(self) -> None:
@@ -97,15 +97,18 @@
         with self._lock:
             if long_poll is not self._long_poll:
                 return None
-            self._apply(data)
+            self._apply(data, is_live=True)
             if self._is_resyncing or self._lagging_responses:
                 return None
             heartbeat = DiscoveryHeartbeat()
             self._post(heartbeat)
             return heartbeat
 
-    def _apply(self, data: object) -> None:
-        """Posts the events that are new, in order, or asks for all of them where some are missing."""
+    def _apply(self, data: object, is_live: bool) -> None:
+        """Posts the events that are new, in order, or asks for all of them where some are missing.
+
+        Those of a poll are `is_live`: they have just been told. Those of the start may be of any age.
+        """
         response = FieldReader("discovery response", data)
         response_index = response.integer("index", 0)
         events = self._new_events(response)
@@ -117,7 +120,7 @@
             return
         self._is_resyncing = False
         for event in events:
-            self._deliver(event)
+            self._deliver(event, is_live)
         self._last_index = max(self._last_index, response_index)
 
     def _new_events(self, response: FieldReader) -> list[NumberedEvent]:
@@ -147,9 +150,12 @@
             self._last_index = 0
             self._lagging_responses = 0
 
-    def _deliver(self, numbered: NumberedEvent) -> None:
-        if numbered.event is not None:
-            self._post(self._restored_if_first(numbered.event))
+    def _deliver(self, numbered: NumberedEvent, is_live: bool) -> None:
+        event = numbered.event
+        if event is not None:
+            if is_live:
+                event = _without_clock(event)
+            self._post(self._restored_if_first(event))
         self._last_index = numbered.index
 
     def _restored_if_first(self, event: DiscoveryEvent) -> DiscoveryEvent:
@@ -159,3 +165,15 @@
         self._has_endpoints = True
         restored = api.EndpointUpdate(api.EndpointUpdateKind.RESTORED, event.change.endpoints)
         return DiscoveryEvent(restored, event.addresses)
+
+
+def _without_clock(event: DiscoveryEvent) -> DiscoveryEvent:
+    """Has an invalidation count from when it was told.
+
+    Its age by this process's clock may be wrong either way. One that is taken for older than it is would let
+    older responses pass; taken for younger, it costs fills of what was generated since.
+    """
+    if not isinstance(event.change, api.Invalidation):
+        return event
+    change = api.Invalidation(event.change.object, event.change.group, 0)
+    return DiscoveryEvent(change, event.addresses)
--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -15,6 +15,7 @@
 from olivepost.proxy.discovery.messages import DiscoveryHeartbeat
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.http1 import HttpError
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.units import MILLISECOND, SECOND
 
 # How long the coordinator may hold a poll open. Short, so that a dead one is noticed well before its events
@@ -76,7 +77,7 @@
         self._sock: socket.socket | None = None
         self._parser = self._new_parser()
         self._polled_at = 0
-        threading.Thread(target=self._run, name="discovery", daemon=True).start()
+        start_thread(self._run, "discovery", START_TIMEOUT_S)
 
     def stop(self) -> None:
         """Aborts the open poll; a connection that is being made is closed once it is there."""
--- a/olivepost/proxy/downstream/connection.py
+++ b/olivepost/proxy/downstream/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -53,9 +54,8 @@
                 context.log.increment("pool_empty")
                 self._set_close_reason(CloseReason.NO_READ_BUFFER)
             else:
-                sockets.configure(self._sock, 0, context.limits.write_stall_timeout)
-                sockets.set_send_buffer(self._sock, context.limits.max_response_body)
-                self._read(memoryview(buffers[0]))
+                self._configure_socket()
+                self._read(buffers[0])
         except OSError:
             context.log.increment("connections_reset")
         except Exception:  # the top of a thread: a fault ends this connection only
@@ -67,6 +67,14 @@
                 context.read_buffers.release(buffers)
             self._on_closed(self)
 
+    def _configure_socket(self) -> None:
+        """Sets what the system will set: a request that has come is owed its response without it, too."""
+        limits = self._context.limits
+        with contextlib.suppress(OSError):
+            sockets.configure(self._sock, 0, limits.write_stall_timeout)
+        with contextlib.suppress(OSError):
+            sockets.set_send_buffer(self._sock, limits.max_response_body)
+
     def _read(self, view: memoryview) -> None:
         """Waits for bytes without the lock, and receives them with it.
 
@@ -77,7 +85,7 @@
             received_at = self._context.clock.now()
             with self._lock:
                 try:
-                    count = self._sock.recv_into(view, 0, socket.MSG_DONTWAIT)
+                    count = sockets.receive_at_once(self._sock, view)
                 except BlockingIOError:
                     continue
                 if not count:
--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from functools import partial
 
 from olivepost import interface as api
 from olivepost.config import Address
@@ -14,6 +15,7 @@
 from olivepost.proxy.downstream.connection import DownstreamConnection
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.response_writer import ResponseWriters
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.routing import memory_pressure
 from olivepost.units import MILLISECOND
 
@@ -25,6 +27,12 @@
 # A connection that was accepted, or became idle, less long ago is not evicted: its request may be on its way,
 # and a reset could overtake its response.
 MIN_IDLE_BEFORE_EVICTION_NS = 50 * MILLISECOND
+# For the address to come free, at a start right behind a kill; and between two attempts to bind.
+BIND_TIMEOUT_S = 8.0
+BIND_RETRY_PAUSE_S = 0.05
+# Attempts to start a connection's thread, and the pause between two: a second in all.
+READER_START_TRIES = 100
+READER_START_PAUSE_S = 0.01
 MAX_EVICTIONS_AT_ONCE = 8  # idle connections that one check under memory pressure closes
 # From this part of the cap on (1/4), connections without any request yet are a flood, which is waited out:
 # connections that have had requests are evicted only below it.
@@ -71,6 +79,25 @@
 
         Takes an address also where connections of a proxy that was killed still hold it.
         """
+        listener = self._bind_in_time(address)
+        bound: Address = listener.getsockname()
+        self._acceptor = start_thread(partial(self._accept, listener), "accept", START_TIMEOUT_S)
+        start_thread(self._enforce_deadlines, "deadlines", START_TIMEOUT_S)
+        return bound
+
+    def _bind_in_time(self, address: Address) -> socket.socket:
+        """Binds, and tries again for a while: a process that was killed may hold the address still."""
+        until = time.monotonic() + BIND_TIMEOUT_S
+        while True:
+            try:
+                return self._bind(address)
+            except OSError as error:
+                if time.monotonic() >= until:
+                    raise
+                self.context.log.sampled_event("bind_failed", reason=error.strerror)
+                time.sleep(BIND_RETRY_PAUSE_S)
+
+    def _bind(self, address: Address) -> socket.socket:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -80,20 +107,20 @@
         except OSError:
             listener.close()
             raise
-        self._acceptor = threading.Thread(target=self._accept, args=(listener,), name="accept", daemon=True)
-        self._acceptor.start()
-        threading.Thread(target=self._enforce_deadlines, name="deadlines", daemon=True).start()
-        bound: Address = listener.getsockname()
-        return bound
+        return listener
 
     def give_way(self, level: api.MemoryPressureLevel) -> None:
         """Follows a level of memory use: idle connections are closed, and fewer may be open."""
         limit = memory_pressure.connection_limit(level, self.context.limits.max_client_connections)
         self._connection_limit = limit
         if level >= api.MemoryPressureLevel.CLOSE_IDLE:
-            for connection in self._eviction_candidates()[:MAX_EVICTIONS_AT_ONCE]:
-                if not connection.has_pending_response and connection.evict():
-                    self.context.log.increment("connections_evicted")
+            self._evict_idle()
+
+    def _evict_idle(self) -> None:
+        """Ends a few connections without a request in flight, the longest idle first."""
+        for connection in self._eviction_candidates()[:MAX_EVICTIONS_AT_ONCE]:
+            if not connection.has_pending_response and connection.evict():
+                self.context.log.increment("connections_evicted")
 
     def drain(self) -> None:
         """Begins the graceful shutdown: every response from now on ends its connection."""
@@ -122,19 +149,23 @@
         while True:
             try:
                 sock, _ = listener.accept()
+                self._admit(sock)
             except BlockingIOError:
                 if self._is_stopping:  # the kernel's queue is empty
                     break
-                continue
             except OSError as error:
                 self._record_accept_failure(error)
-                continue
-            if self._has_room() or self._wait_for_slot():
-                self._start_connection(sock)
-            else:
-                sock.close()
+            except Exception:  # the top of a thread: no connection's fault may end the listener
+                self.context.log.exception("accept_error")
         listener.close()
 
+    def _admit(self, sock: socket.socket) -> None:
+        """Starts a connection once there is a slot for it."""
+        if self._has_room() or self._wait_for_slot():
+            self._start_connection(sock)
+        else:
+            sock.close()
+
     def _has_room(self) -> bool:
         """Takes a slot, if one is free and the present level of memory use allows one more connection."""
         return self.open_count < self._connection_limit and self._slots.acquire(blocking=False)
@@ -143,7 +174,7 @@
         log = self.context.log
         log.increment("accept_failed")
         if error.errno not in (errno.ECONNABORTED, errno.EINTR):
-            log.event("accept_failed", reason=error.strerror)
+            log.sampled_event("accept_failed", reason=error.strerror)
             time.sleep(ACCEPT_RETRY_PAUSE_S)
 
     def _wait_for_slot(self) -> bool:
@@ -185,15 +216,28 @@
         with self._lock:
             self._connections.add(connection)
             self.peak_count = max(self.peak_count, len(self._connections))
-        try:
-            # threading.Thread.start waits until the new thread has run: on a busy core that is a hand-over
-            # for each connection, in which the accept thread takes no other.
-            _thread.start_new_thread(connection.run, ())
-        except RuntimeError:
-            self.context.log.increment("threads_short")
+        if not self._start_reader(connection):
             sock.close()
             self._forget(connection)
 
+    def _start_reader(self, connection: DownstreamConnection) -> bool:
+        """Starts a connection's thread; where the system has none, idle connections give theirs up.
+
+        Its client may have sent a request already, so it is not closed until no thread came free in time.
+        """
+        for _ in range(READER_START_TRIES):
+            try:
+                # threading.Thread.start waits until the new thread has run: on a busy core that is a
+                # hand-over for each connection, in which the accept thread takes no other.
+                _thread.start_new_thread(connection.run, ())
+            except RuntimeError:
+                self.context.log.increment("threads_short")
+                self._evict_idle()
+                time.sleep(READER_START_PAUSE_S)
+            else:
+                return True
+        return False
+
     # The reader threads.
 
     def _forget(self, connection: DownstreamConnection) -> None:
@@ -207,12 +251,19 @@
     def _enforce_deadlines(self) -> None:
         log = self.context.log
         while not self._stopped.wait(DEADLINE_CHECK_INTERVAL_S):
-            now = self.context.clock.now()
-            with self._lock:
-                expired = [connection for connection in self._connections if 0 < connection.deadline < now]
-            for connection in expired:
-                log.increment("connection_deadlines_exceeded")
-                try:
-                    connection.expire()
-                except Exception:  # a fault in one connection must not end the deadlines of all
-                    log.exception("downstream_connection_error")
+            try:
+                self._expire_connections()
+            except Exception:  # the top of a thread: the deadlines of all depend on it
+                log.exception("deadline_error")
+
+    def _expire_connections(self) -> None:
+        log = self.context.log
+        now = self.context.clock.now()
+        with self._lock:
+            expired = [connection for connection in self._connections if 0 < connection.deadline < now]
+        for connection in expired:
+            log.increment("connection_deadlines_exceeded")
+            try:
+                connection.expire()
+            except Exception:  # a fault in one connection must not end the deadlines of all
+                log.exception("downstream_connection_error")
--- a/olivepost/proxy/downstream/response_writer.py
+++ b/olivepost/proxy/downstream/response_writer.py
@@ -10,6 +10,7 @@
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.exchange import Exchange, Response, ResponseKind
 from olivepost.proxy.http1 import response_head
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.units import MILLISECOND
 
 if TYPE_CHECKING:
@@ -50,7 +51,7 @@
         self._log = log
         self._jobs: queue.SimpleQueue[WriteJob] = queue.SimpleQueue()
         for _ in range(count):
-            threading.Thread(target=self._run, name="writer", daemon=True).start()
+            start_thread(self._run, "writer", START_TIMEOUT_S)
 
     def submit(self, connection: DownstreamConnection, exchange: Exchange, response: Response) -> None:
         """Queues a response; any thread may call it."""
--- a/olivepost/proxy/event_log.py
+++ b/olivepost/proxy/event_log.py
@@ -13,6 +13,7 @@
 import orjson
 
 from olivepost.proxy.clock import Clock
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.units import MILLISECOND, SECOND
 
 MAX_TRACEBACK_FRAMES = 6  # the innermost ones
@@ -53,8 +54,7 @@
         self._lock = threading.Lock()
         self._counters: Counter[str] = Counter()
         self._samples: dict[str, SampleWindow] = {}
-        self._thread = threading.Thread(target=self._write, name="log", daemon=True)
-        self._thread.start()
+        self._thread = start_thread(self._write, "log", START_TIMEOUT_S)
 
     def event(self, name: str, **fields: object) -> None:
         """Logs one event."""
--- a/olivepost/proxy/event_loop.py
+++ b/olivepost/proxy/event_loop.py
@@ -93,24 +93,33 @@
 
     def run(self) -> None:
         """Handles events and timers until `StopEventLoop`."""
-        while True:
+        is_running = True
+        while is_running:
             try:
-                posted_at, event = self._events.get(self._time_to_next_due())
-            except queue.Empty:
-                self._fire_due()
-                continue
-            now = self._clock.now()
-            self._queue_delays.record(now - posted_at)
-            self._event_counts[type(event).__name__] += 1
-            if isinstance(event, StopEventLoop):
-                self._response_cache.clear()
-                return
-            try:
-                self._handle(now, event)
-            except Exception:  # one event's fault must not end the loop; its request still gets a response
-                self._logger.exception("event_loop_error", kind=type(event).__name__)
-                self._fail_request_of(event)
+                is_running = self._run_once()
+            except Exception:  # the top of the thread on which every request depends
+                self._logger.exception("event_loop_error", kind="loop")
+        self._response_cache.clear()
+
+    def _run_once(self) -> bool:
+        """Handles the next event and what is due; false where the loop has to end."""
+        try:
+            posted_at, event = self._events.get(self._time_to_next_due())
+        except queue.Empty:
             self._fire_due()
+            return True
+        now = self._clock.now()
+        self._queue_delays.record(now - posted_at)
+        self._event_counts[type(event).__name__] += 1
+        if isinstance(event, StopEventLoop):
+            return False
+        try:
+            self._handle(now, event)
+        except Exception:  # one event's fault must not end the loop; its request still gets a response
+            self._logger.exception("event_loop_error", kind=type(event).__name__)
+            self._fail_request_of(event)
+        self._fire_due()
+        return True
 
     def _time_to_next_due(self) -> float | None:
         """Seconds until the next timer or the shutdown deadline; None where neither is set."""
--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -27,6 +27,7 @@
 from olivepost.proxy.response_cache import ResponseCache
 from olivepost.proxy.shutdown import GracefulShutdown
 from olivepost.proxy.signals import SignalListener, SignalRequest, WaitForSignal, wait_without_signals
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.proxy.upstream.pool import UpstreamPool
 from olivepost.proxy.upstream.resources import UpstreamResources
 from olivepost.router import Router
@@ -133,7 +134,7 @@
 
         Returns the address that is bound; raises `OSError` where it can't be.
         """
-        threading.Thread(target=self.event_loop.run, name="event-loop", daemon=True).start()
+        start_thread(self.event_loop.run, "event-loop", START_TIMEOUT_S)
         if self.shared_store is not None:
             self.shared_store.start()
         self.discovery.start(self.config.known_events)
@@ -209,21 +210,24 @@
 
 def serve(
     config: ProxyConfig,
-    read_config: Callable[[], ProxyConfig],
+    signals: SignalListener,
+    source: ConfigurationSource,
     operator: OperatorSettings | None,
-    read_operator_settings: Callable[[], OperatorSettings | None],
 ) -> int:
     """Runs a proxy until SIGTERM or SIGINT; SIGHUP reloads its configuration. Returns the exit code."""
     threading.stack_size(config.limits.stack_size)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    source = ConfigurationSource(read_config, read_operator_settings)
-    proxy = ProxyServer(config, STDOUT, operator, source, SignalListener().wait)
     try:
+        proxy = ProxyServer(config, STDOUT, operator, source, signals.wait)
         proxy.start()
     except OSError as error:
         host, port = config.listen
         print(f"olivepost: can't listen on {host}:{port}: {error.strerror}", file=sys.stderr)
         return 1
+    except RuntimeError as error:
+        print(f"olivepost: can't start: {error}", file=sys.stderr)
+        return 1
+    del config  # with the decoded list of the start, which `ProxyServer.start` has dropped
     gc.collect()
     gc.set_threshold(GC_THRESHOLD, GC_GENERATION_THRESHOLD, GC_GENERATION_THRESHOLD)
     gc.freeze()
--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -7,13 +7,25 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import struct
-from collections.abc import Iterable
+import time
+from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 from olivepost.config import Address
 from olivepost.units import SECOND
 
+ResultT = TypeVar("ResultT")
+
+# Errors by which the system says that it is short of memory for this call, and may have it for the next.
+SHORTAGES = (errno.ENOBUFS, errno.ENOMEM)
+SHORTAGE_TRIES = 20
+SHORTAGE_PAUSE_S = 0.005
+# Errors of making a connection that are this machine's own, and say nothing of the peer.
+LOCAL_FAILURES = (*SHORTAGES, errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.EAGAIN)
+
 NANOSECONDS_PER_MICROSECOND = 1_000
 MICROSECONDS_PER_SECOND = 1_000_000
 
@@ -48,7 +60,7 @@
 def has_nothing_unread(sock: socket.socket) -> bool:
     """Whether no received bytes wait to be read."""
     try:
-        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not _retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:  # no bytes, or the connection has ended
         return True
 
@@ -56,16 +68,43 @@
 def is_closed_by_peer(sock: socket.socket) -> bool:
     """Whether the peer has closed or reset the connection, with nothing left to read before that."""
     try:
-        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not _retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except BlockingIOError:
         return False
-    except OSError:
-        return True
+    except OSError as error:
+        return error.errno not in SHORTAGES
 
 
 def wait_readable(sock: socket.socket) -> bool:
     """Waits until there are bytes, and reads none; false where the peer has closed its side."""
-    return bool(sock.recv(1, socket.MSG_PEEK))
+    return bool(_retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK)))
+
+
+def receive(sock: socket.socket, buffer: memoryview) -> int:
+    """Receives into a buffer, up to the receive timeout (BlockingIOError); 0 at the connection's end."""
+    return _retry_while_short(lambda: sock.recv_into(buffer))
+
+
+def send(sock: socket.socket, data: memoryview) -> int:
+    """Sends what the system takes, up to the send timeout (BlockingIOError); returns how much that was."""
+    return _retry_while_short(lambda: sock.send(data))
+
+
+def receive_at_once(sock: socket.socket, buffer: memoryview) -> int:
+    """Receives what has come already; BlockingIOError where nothing has."""
+    return _retry_while_short(lambda: sock.recv_into(buffer, 0, socket.MSG_DONTWAIT))
+
+
+def _retry_while_short(call: Callable[[], ResultT]) -> ResultT:
+    """Repeats a call that the system refuses for want of memory; the connection is as good as before."""
+    for _ in range(SHORTAGE_TRIES):
+        try:
+            return call()
+        except OSError as error:
+            if error.errno not in SHORTAGES:
+                raise
+        time.sleep(SHORTAGE_PAUSE_S)
+    return call()
 
 
 def connect(address: Address, timeout: int, receive_timeout: int, send_timeout: int) -> socket.socket:
@@ -92,7 +131,7 @@
     remaining = [memoryview(part) for part in parts if part]
     while remaining:
         try:
-            sent = sock.sendmsg(remaining, [], flags)
+            sent = _retry_while_short(lambda: sock.sendmsg(remaining, [], flags))
         except BlockingIOError:
             if not flags:
                 raise
--- a/olivepost/proxy/upstream/completion.py
+++ b/olivepost/proxy/upstream/completion.py
@@ -37,7 +37,7 @@
 ) -> UpstreamCompleted:
     """Return how a request ended, by its response's line and the body read for it."""
     cache_status = CACHE_STATUSES.get(line.fields.get("why", ""), api.CacheStatus.UNKNOWN)
-    response = _response(request, line)
+    response = _response(request, line, completed_at)
     if response is not None:
         status = api.AttemptStatus.OK
     elif request.lacks_buffers:
@@ -51,7 +51,7 @@
 
 
 def events_of_loss(
-    requests: list[UpstreamRequest], lost_at: int, was_connected: bool
+    requests: list[UpstreamRequest], lost_at: int, was_connected: bool, is_local_failure: bool = False
 ) -> Iterator[UpstreamEvent]:
     """Yield what becomes of the requests that were pending on a connection when it ended.
 
@@ -66,15 +66,17 @@
         status = api.AttemptStatus.CONNECT_FAILED
         if request.is_started:
             status = api.AttemptStatus.CONNECTION_LOST
+        elif is_local_failure:
+            status = api.AttemptStatus.NOT_SENT
         yield UpstreamCompleted(request, status, lost_at, is_repeated_loss=is_repeated_loss)
         is_repeated_loss = True
 
 
-def _response(request: UpstreamRequest, line: ResponseLine) -> Response | None:
+def _response(request: UpstreamRequest, line: ResponseLine, completed_at: int) -> Response | None:
     """Return the response to pass on; None where the endpoint served none."""
     etag = line.fields.get("entity", "")
     if line.status == "HIT" and request.body is not None:
-        generated_at = _generated_at(line.fields.get("issued", ""))
+        generated_at = _generated_at(line.fields.get("issued", ""), completed_at)
         return Response(ResponseKind.SERVED, etag, request.body, generated_at)
     # Only the very response that the client holds, by its tag, may be called not modified.
     if line.status == "VALID" and etag and etag == request.exchange.etag:
@@ -82,7 +84,10 @@
     return None
 
 
-def _generated_at(issued: str) -> int:
-    """Return Unix nanoseconds from the field's milliseconds; 0 where it is missing or malformed."""
+def _generated_at(issued: str, completed_at: int) -> int:
+    """Return Unix nanoseconds from the field's milliseconds; 0 where it is missing or malformed.
+
+    No response was generated after it came: where this process's clock is behind, it counts as new then.
+    """
     is_timestamp = issued.isascii() and issued.isdigit() and len(issued) <= MAX_TIMESTAMP_DIGITS
-    return int(issued) * MILLISECOND if is_timestamp else 0
+    return min(int(issued) * MILLISECOND, completed_at) if is_timestamp else 0
--- a/olivepost/proxy/upstream/connection.py
+++ b/olivepost/proxy/upstream/connection.py
@@ -216,9 +216,11 @@
                 open_requests=self.pending_count,
             )
 
-    def end(self) -> None:
+    def end(self, is_local_failure: bool = False) -> None:
         """End the connection, and report once what became of the requests that were pending on it.
 
+        With `is_local_failure` it ended for want of this process's own: the endpoint is not at fault.
+
         The connection first: its end gives up all that is pending there, and what is reported here may be
         forwarded again at once, where two attempts of an exchange must not be out together.
         """
@@ -235,7 +237,8 @@
         for aborted in aborts:
             self.confirm_abort(aborted)
         now = self.resources.clock.now()
-        for event in events_of_loss(requests, now, was_connected=self._sock is not None):
+        was_connected = self._sock is not None
+        for event in events_of_loss(requests, now, was_connected, is_local_failure):
             self.resources.post(event)
 
     def _remove(self, request: UpstreamRequest) -> None:
--- a/olivepost/proxy/upstream/pool.py
+++ b/olivepost/proxy/upstream/pool.py
@@ -130,7 +130,7 @@
             ConnectionWriter(connection).start()
         except RuntimeError:
             self._resources.log.increment("threads_short")
-            self._report(request, api.AttemptStatus.CONNECT_FAILED)
+            self._report(request, api.AttemptStatus.NOT_SENT)
             return
         endpoint.connections.append(connection)
         self._connections.append(connection)
--- a/olivepost/proxy/upstream/reader.py
+++ b/olivepost/proxy/upstream/reader.py
@@ -38,7 +38,7 @@
         try:
             if buffers is None:
                 raise ReadBufferUnavailableError(BUFFER_TIMEOUT_S)
-            self._read(sock, memoryview(buffers[0]))
+            self._read(sock, buffers[0])
         except UpstreamError as error:
             connection.record_loss(str(error))
         except OSError as error:
@@ -59,7 +59,7 @@
         liveness.last_received_at = clock.now()
         while True:
             try:
-                size = sock.recv_into(buffer)
+                size = sockets.receive(sock, buffer)
             except BlockingIOError:
                 self._check_liveness(clock.now())
                 continue
--- a/olivepost/proxy/upstream/writer.py
+++ b/olivepost/proxy/upstream/writer.py
@@ -5,8 +5,11 @@
 import queue
 import socket
 import threading
+import time
+from functools import partial
 
 from olivepost.proxy import sockets
+from olivepost.proxy.threads import start_thread
 from olivepost.proxy.upstream.connection import UpstreamConnection, WriterSignal
 from olivepost.proxy.upstream.line_protocol import encode_command
 from olivepost.proxy.upstream.reader import ConnectionReader
@@ -15,6 +18,8 @@
 
 LIVENESS_COMMAND = encode_command("alive", "link")
 IDLE_MARGIN = 1 * SECOND  # nanoseconds that the proxy closes an idle connection before its endpoint does
+READER_START_TIMEOUT_S = 0.2  # for a thread to read with, where the system has none at once
+LOCAL_FAILURE_PAUSE_S = 0.02  # before another attempt to connect
 DRAIN_POLL_S = 0.1  # how often a draining connection's pending requests are counted
 
 
@@ -28,56 +33,72 @@
         self._connection = connection
         self._resources = connection.resources
         self._is_draining = False
+        self._is_local_failure = False  # the connection ended for want of the process's own
 
     def start(self) -> None:
         """Start the thread; RuntimeError where the system has none left."""
-        name = f"upstream-writer-{self._connection.address.id}"
-        threading.Thread(target=self._run, name=name, daemon=True).start()
+        start_thread(self._run, f"upstream-writer-{self._connection.address.id}")
 
     def _run(self) -> None:
         connection = self._connection
         sock = self._connect()
         if sock is None:
-            connection.end()
+            connection.end(self._is_local_failure)
             connection.is_closed = True
             return
         connection.attach(sock)
-        reader = threading.Thread(
-            target=ConnectionReader(connection).run, args=(sock,), name="upstream-reader", daemon=True
-        )
+        reader: threading.Thread | None = None
         try:
-            reader.start()
+            run_reader = partial(ConnectionReader(connection).run, sock)
+            reader = start_thread(run_reader, "upstream-reader", READER_START_TIMEOUT_S)
             self._write(sock)
         except OSError as error:
             connection.record_loss(error.strerror or str(error))
+        except RuntimeError as error:  # no thread to read with
+            self._is_local_failure = True
+            self._resources.log.increment("threads_short")
+            connection.record_loss(str(error))
         except Exception:  # a thread's top: its connection must end and be reported whatever went wrong
             self._resources.log.exception("upstream_connection_error", endpoint=connection.address.id)
         finally:
-            connection.end()
+            connection.end(self._is_local_failure)
             sockets.shutdown(sock)
-            if reader.ident is not None:
+            if reader is not None:
                 reader.join()
             sock.close()
             connection.is_closed = True
 
     def _connect(self) -> socket.socket | None:
-        """Return a connected socket; None, and logged, where the endpoint can't be reached."""
-        limits = self._resources.limits
+        """Return a connected socket; None, and logged, where the endpoint can't be reached.
+
+        What the system refuses for want of its own is tried again within the time to connect.
+        """
         log = self._resources.log
-        address = self._connection.address
-        try:
-            sock = sockets.connect(
-                address.socket_address,
-                limits.connect_timeout,
-                limits.receive_poll_interval,
-                limits.write_stall_timeout,
-            )
-        except OSError as error:
-            log.increment("connect_failed")
-            log.event("connect_failed", endpoint=address.id, reason=error.strerror or str(error))
-            return None
-        log.increment("upstream_connections_opened")
-        return sock
+        until = time.monotonic() + self._resources.limits.connect_timeout / SECOND
+        while True:
+            try:
+                sock = self._connect_once()
+            except OSError as error:
+                self._is_local_failure = error.errno in sockets.LOCAL_FAILURES
+                if self._is_local_failure and time.monotonic() < until:
+                    time.sleep(LOCAL_FAILURE_PAUSE_S)
+                    continue
+                reason = error.strerror or str(error)
+                log.increment("connect_failed")
+                log.sampled_event("connect_failed", endpoint=self._connection.address.id, reason=reason)
+                return None
+            self._is_local_failure = False
+            log.increment("upstream_connections_opened")
+            return sock
+
+    def _connect_once(self) -> socket.socket:
+        limits = self._resources.limits
+        return sockets.connect(
+            self._connection.address.socket_address,
+            limits.connect_timeout,
+            limits.receive_poll_interval,
+            limits.write_stall_timeout,
+        )
 
     def _write(self, sock: socket.socket) -> None:
         """Write what the outbox brings, until the connection ends or was idle nearly as long as it may be."""
@@ -127,7 +148,7 @@
             request.is_started = True
         while view:
             try:
-                view = view[sock.send(view) :]
+                view = view[sockets.send(sock, view) :]
             except OSError:
                 if request is not None and len(view) == len(data):
                     request.is_started = False
--- a/olivepost/routing/capacity.py
+++ b/olivepost/routing/capacity.py
@@ -19,6 +19,9 @@
 MIN_LIMIT_FACTOR = 0.5  # of the concurrency limit, which follows the share of late responses,
 MAX_LIMIT_FACTOR = 1.5  # between these two,
 LATE_SLOPE = 2.5  # with this slope
+# What is listed as started earlier than this is taken for just started: a wall clock that is ahead would make
+# a cold endpoint look warm. Hurts where the list comes later still: its slow start begins anew.
+MAX_LISTING_DELAY = 20 * SECOND
 DONATED_SHARE = 0.75  # of a proxy's part, at most
 MAX_TRANSFER_DURATION = 2 * SECOND
 
@@ -26,7 +29,7 @@
 def slow_start_share(now: int, endpoint: Endpoint) -> float:
     """The share of its link that an endpoint surely has by now."""
     tier = endpoint.tier
-    started_at = endpoint.metadata.started_at
+    started_at = endpoint.started_at
     age = now - started_at if started_at and endpoint.role is not Role.ORIGIN else tier.slow_start_duration
     initial = tier.slow_start_initial_share
     return min(1.0, initial + (1 - initial) * max(0, age) / tier.slow_start_duration)
@@ -39,7 +42,7 @@
     multiple = endpoint.tier.overload_multiple
     if share >= 1 or not multiple:
         return True
-    is_known = state.endpoints.first_listed_at <= max(endpoint.metadata.started_at, now - window)
+    is_known = state.endpoints.first_listed_at <= max(endpoint.started_at, now - window)
     budget_per_link = multiple * share * window if is_known else 0.0
     link = certain_link(state, endpoint)
     extra = 0.0
--- a/olivepost/routing/initial_state.py
+++ b/olivepost/routing/initial_state.py
@@ -21,6 +21,7 @@
         rate_memory=capacity.RATE_MEMORY,
         share_step=outcomes.SHARE_STEP,
         initial_late_share=health.INITIAL_LATE_SHARE,
+        max_listing_delay=capacity.MAX_LISTING_DELAY,
         initial_slow_share=outcomes.INITIAL_SLOW_SHARE,
         initial_retries=retries.MAX_RETRIES,
     )
--- a/olivepost/routing_state/endpoint.py
+++ b/olivepost/routing_state/endpoint.py
@@ -27,6 +27,7 @@
     tier: api.TierSettings  # how it starts, and how many proxies share it
     work: SlidingWindowSum  # sent to it within the overload window
     late_share: float  # of its responses lately: hits at a cache, fills at a source
+    started_at: int = 0  # of its slow start, by the clock of this proxy; 0: long ago
     last_success_at: int = -1
     failure_score: float = 0.0
     ejection_duration: int = 0
--- a/olivepost/routing_state/endpoint_table.py
+++ b/olivepost/routing_state/endpoint_table.py
@@ -26,6 +26,9 @@
 
     work_window: int  # of the work that was sent to an endpoint
     initial_late_share: float
+    # How much earlier than its listing an endpoint may have started; one that seems older is taken for new,
+    # since the clock of this proxy may be ahead.
+    max_listing_delay: int
     by_id: dict[str, Endpoint] = field(default_factory=dict)
     caches: tuple[str, ...] = ()
     parents: tuple[str, ...] = ()
@@ -44,6 +47,9 @@
             role = role_of(settings, metadata)
             tier = settings.parents if role is Role.PARENT else settings.caches
             endpoint = self._listed(metadata, role, tier, before.get(metadata.id))
+            if metadata.id not in before or endpoint is not before[metadata.id]:
+                is_live = update.kind is not api.EndpointUpdateKind.RESTORED
+                endpoint.started_at = self._started_at(now, metadata.started_at, is_live)
             if role in LISTED_ROLES and metadata.state is not api.EndpointState.REMOVED:
                 self.by_id[metadata.id] = endpoint
         ready = {role: self._ready(role) for role in LISTED_ROLES}
@@ -64,6 +70,14 @@
         work = known.work if known is not None else SlidingWindowSum(self.work_window)
         return Endpoint(metadata, role, tier, work, self.initial_late_share)
 
+    def _started_at(self, now: int, told: int, is_live: bool) -> int:
+        """The start of an endpoint that is listed now: not later than now, nor earlier than is plausible."""
+        if not told:
+            return 0
+        if is_live and now - told > self.max_listing_delay:
+            return now
+        return min(told, now)
+
     def _ready(self, role: Role) -> tuple[str, ...]:
         ready = (it for it in self.by_id.values() if it.metadata.state is api.EndpointState.READY)
         return tuple(sorted(endpoint.metadata.id for endpoint in ready if endpoint.role is role))
--- a/olivepost/routing_state/routing_state.py
+++ b/olivepost/routing_state/routing_state.py
@@ -32,6 +32,7 @@
     rate_memory: int  # ns
     share_step: float
     initial_late_share: float
+    max_listing_delay: int  # ns
     initial_slow_share: float
     initial_retries: float
 
@@ -65,7 +66,9 @@
         self.settings = settings
         self.random = random.Random(seed)
         self.actions: list[api.Action] = []  # of the event in hand, in order
-        self.endpoints = EndpointTable(settings.overload_window, tuning.initial_late_share)
+        self.endpoints = EndpointTable(
+            settings.overload_window, tuning.initial_late_share, tuning.max_listing_delay
+        )
         self.levels = {name: replace(tuning.initial_levels) for name in settings.classes}
         self.names = ExpiringNameTable(tuning.max_names, tuning.ranks)
         self.invalidations = InvalidationTable(tuning.max_invalidations)
--- a/tests/proxy/test_cached_responses.py
+++ b/tests/proxy/test_cached_responses.py
@@ -5,7 +5,9 @@
 import time
 from typing import Any
 
-from examples.toy_server import body_of, tag_of
+import pytest
+
+from examples.toy_server import Command, Member, body_of, serve_all, tag_of
 from olivepost.proxy.exchange_lifecycle import DISCOVERY_VALID_FOR
 from tests.rig import NAME, Client, Rig, rig
 
@@ -47,3 +49,29 @@
         made.proxy.event_loop._lifecycle.discovery_heard_at -= DISCOVERY_VALID_FOR
         assert client.ask()[0] == 200
         assert made.counted("cached_responses_served") == 1
+
+
+@pytest.mark.parametrize("clock_error_ms", [5_000, -5_000, 3_600_000, -3_600_000])
+def test_invalidation_evicts_cached_responses_whatever_the_wall_clock_was(clock_error_ms: int) -> None:
+    """Endpoints and coordinator share a clock, which this process's may be ahead of or behind."""
+
+    def reply(member: Member, command: Command) -> None:
+        if command.verb != "fetch":
+            serve_all(member, command)
+            return
+        issued = str(time.time_ns() // 1_000_000 + clock_error_ms)
+        body = body_of(command.fields["name"], command.fields["piece"])
+        command.answer("HIT", body, why="warm", entity=tag_of(NAME, "3"), issued=issued)
+
+    with rig(reply, **CACHE_CONFIG) as made, made.client() as client:
+        request_repeatedly(made, client)
+        made.coordinator.add(evict={"shard": 17, "unix_ms": time.time_ns() // 1_000_000 + clock_error_ms})
+        assert made.until(lambda: len(made.proxy.response_cache) == 0)
+
+
+def request_repeatedly(made: Rig, client: Client) -> None:
+    """Asks until a response is stored."""
+    assert made.until(lambda: made.proxy.event_loop._lifecycle.discovery_heard_at)
+    for _ in range(2):
+        assert client.ask()[0] == 200
+    assert made.until(lambda: len(made.proxy.response_cache) == 1)
--- /dev/null
+++ b/tests/proxy/test_system_call_failures.py
@@ -0,0 +1,206 @@
+"""System calls and thread starts that fail for a while: what is owed is owed all the same."""
+
+from __future__ import annotations
+
+import _thread
+import errno
+import itertools
+import os
+import socket
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from olivepost.proxy import sockets
+from olivepost.proxy.discovery import long_poll
+from olivepost.proxy.upstream import writer
+from tests.proxy.fakes import no_attempt_was_sent
+from tests.rig import Client, Rig, rig
+
+STAND_IN_THREADS = ("MainThread", "Thread-")  # of the client and of the toy endpoints
+SHORTAGES = [errno.ENOBUFS, errno.ENOMEM]
+
+
+def failing(call: Callable[..., Any], error: Exception, times: int, thread: str = "") -> Callable[..., Any]:
+    """The call, which fails so many times first, on threads whose names begin so."""
+    left = itertools.chain(range(times))
+
+    def fail_first(*args: Any, **kwargs: Any) -> Any:
+        is_concerned = threading.current_thread().name.startswith(thread)
+        if is_concerned and next(left, None) is not None:
+            raise error
+        return call(*args, **kwargs)
+
+    return fail_first
+
+
+def os_error(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
+
+
+@pytest.mark.parametrize(
+    "number",
+    [errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO, errno.EPERM],
+)
+def test_accept_that_fails_is_tried_again(number: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(socket.socket, "accept", failing(socket.socket.accept, os_error(number), 3, "accept"))
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+        assert made.counted("accept_failed") == 3
+
+
+def test_unforeseen_error_does_not_end_the_accept_thread(monkeypatch: pytest.MonkeyPatch) -> None:
+    with rig() as made:
+        start = failing(made.proxy.downstream._start_connection, MemoryError(), 1)
+        monkeypatch.setattr(made.proxy.downstream, "_start_connection", start)
+        lost = made.client()
+        assert made.until(lambda: made.counted("accept_error") == 1)
+        with made.client() as client:
+            assert client.ask()[0] == 200
+        lost.sock.close()
+
+
+def test_connection_is_served_though_no_thread_is_free_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    start = failing(_thread.start_new_thread, RuntimeError("can't start new thread"), 5)
+    with rig() as made:
+        monkeypatch.setattr(_thread, "start_new_thread", start)
+        with made.client() as client:
+            assert client.ask()[0] == 200
+        assert made.counted("threads_short") == 5
+
+
+@pytest.mark.parametrize("number", SHORTAGES)
+@pytest.mark.parametrize("name", ["recv", "recv_into", "send", "sendmsg"])
+def test_transfer_that_the_system_is_short_of_memory_for_goes_on(
+    name: str, number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+        call = getattr(socket.socket, name)
+        fails = threading.local()
+
+        def fail_at_times(sock: socket.socket, *args: Any) -> Any:
+            count = getattr(fails, "count", 0)
+            fails.count = count + 1
+            is_of_proxy = not threading.current_thread().name.startswith(STAND_IN_THREADS)
+            if is_of_proxy and count % 3 == 0:
+                raise os_error(number)
+            return call(sock, *args)
+
+        monkeypatch.setattr(socket.socket, name, fail_at_times)
+        for piece in range(20):
+            status, _, body = client.ask(piece=piece)
+            assert (status, bool(body)) == (200, True)
+
+
+def test_connection_whose_options_cannot_be_set_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    with rig() as made:
+        monkeypatch.setattr(sockets, "configure", failing(sockets.configure, os_error(errno.ENOMEM), 1))
+        with made.client() as client:
+            assert client.ask()[0] == 200
+
+
+def failure_scores(made: Rig) -> list[float]:
+    endpoints = made.proxy.event_loop.router.state.endpoints.by_id.values()
+    return [endpoint.failure_score for endpoint in endpoints]
+
+
+@pytest.mark.parametrize("number", [*SHORTAGES, errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL])
+def test_connect_that_fails_by_this_machine_is_tried_again_and_charged_to_no_endpoint(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connect = failing(sockets.connect, os_error(number), 4, "upstream-writer-")
+    monkeypatch.setattr(sockets, "connect", connect)
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+        assert failure_scores(made) == [0.0] * 4
+
+
+def test_want_of_threads_is_charged_to_no_endpoint(monkeypatch: pytest.MonkeyPatch) -> None:
+    def start(*_: object) -> threading.Thread:
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(writer, "start_thread", start)
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 503
+        assert no_attempt_was_sent(made)
+        assert failure_scores(made) == [0.0] * 4
+
+
+def test_want_of_a_thread_to_read_with_is_charged_to_no_endpoint(monkeypatch: pytest.MonkeyPatch) -> None:
+    error = RuntimeError("can't start new thread")
+    begin = threading.Thread.start
+
+    def start(thread: threading.Thread) -> None:
+        if thread.name == "upstream-reader":
+            raise error
+        begin(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start)
+    with rig() as made, made.client() as client:
+        assert client.ask(patience=4_000)[0] == 503
+        assert failure_scores(made) == [0.0] * 4
+
+
+def test_address_that_is_held_a_little_longer_is_waited_for() -> None:
+    holder = socket.create_server(("127.0.0.1", 0))
+    port = holder.getsockname()[1]
+    threading.Timer(0.5, holder.close).start()
+    made = Rig(listen=f"127.0.0.1:{port}")
+    with made.client() as client:
+        assert client.ask()[0] == 200
+    made.close()
+
+
+def test_start_waits_for_threads(monkeypatch: pytest.MonkeyPatch) -> None:
+    error = RuntimeError("can't start new thread")
+    begin = threading.Thread.start
+    start = failing(begin, error, 20)
+
+    def start_late(thread: threading.Thread) -> None:
+        if thread.name.startswith(STAND_IN_THREADS):
+            begin(thread)
+        else:
+            start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start_late)
+    with rig() as made, made.client() as client:
+        assert client.ask()[0] == 200
+
+
+def test_reload_without_a_thread_leaves_discovery_as_it_was(monkeypatch: pytest.MonkeyPatch) -> None:
+    def start(*_: object) -> threading.Thread:
+        raise RuntimeError("can't start new thread")
+
+    with rig() as made, rig() as other:
+        assert made.coordinator.wait_for_poll(1)
+        host, _, port = other.coordinator.address.rpartition(":")
+        address = type(made.proxy.config.coordinator)(host, int(port))
+        with monkeypatch.context() as patch:
+            patch.setattr(long_poll, "start_thread", start)
+            with pytest.raises(RuntimeError):
+                made.proxy.discovery.switch_coordinator(address)
+        polls = made.coordinator.polls
+        assert made.coordinator.wait_for_poll(polls + 1)  # the old poll goes on
+        assert made.proxy.discovery.switch_coordinator(address)  # and the next reload moves it
+
+
+def test_event_loop_outlives_errors_outside_of_events(monkeypatch: pytest.MonkeyPatch) -> None:
+    with rig() as made, made.client() as client:
+        loop = made.proxy.event_loop
+        monkeypatch.setattr(loop, "_fire_due", failing(loop._fire_due, MemoryError(), 3))
+        for piece in range(5):
+            assert client.ask(piece=piece)[0] == 200
+        assert made.counted("event_loop_error") == 3
+
+
+def test_client_that_sends_beside_a_failing_poll_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Discovery's own system calls fail for ever: requests go by the known list."""
+    connect = failing(sockets.connect, os_error(errno.ENETUNREACH), 1_000_000, "discovery")
+    monkeypatch.setattr(sockets, "connect", connect)
+    with rig() as made, made.client() as client:
+        assert made.until(lambda: made.counted("poll_failures") >= 2)
+        client.send(Client.request())
+        assert client.read()[0] == 200
--- /dev/null
+++ b/tests/soak/faulty_calls.py
@@ -0,0 +1,83 @@
+"""Imported first in a proxy under soak: makes its system calls, threads and wall clock fail by a seed.
+
+The variables: SOAK_SEED, SOAK_CALLS (the share of calls that fail while they do), SOAK_CLOCK_S (by how much
+the wall clock is stepped at the start), SOAK_STEP_S (by how much it is stepped after some seconds).
+"""
+
+from __future__ import annotations
+
+import _thread
+import errno
+import os
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+FAULTS_FROM_S = 1.5  # after the start, so that it is the running proxy whose calls fail
+FAULTS_UNTIL_S = 6.0
+STEP_AFTER_S = 2.0
+TRANSIENT_ERRORS = (errno.ENOBUFS, errno.ENOMEM)
+ACCEPT_ERRORS = (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, *TRANSIENT_ERRORS)
+CONNECT_ERRORS = (
+    errno.EADDRNOTAVAIL,
+    errno.ENETUNREACH,
+    errno.ECONNREFUSED,
+    errno.EHOSTUNREACH,
+    errno.ETIMEDOUT,
+)
+
+_draw = random.Random(int(os.environ.get("SOAK_SEED", "0")))
+_share = float(os.environ.get("SOAK_CALLS", "0"))
+_clock_ns = int(float(os.environ.get("SOAK_CLOCK_S", "0")) * 1e9)
+_step_ns = int(float(os.environ.get("SOAK_STEP_S", "0")) * 1e9)
+_started_at = time.monotonic()
+
+
+def _age_s() -> float:
+    return time.monotonic() - _started_at
+
+
+def _fails() -> bool:
+    return FAULTS_FROM_S < _age_s() < FAULTS_UNTIL_S and _draw.random() < _share
+
+
+def _failing(call: Callable[..., Any], errors: tuple[int, ...]) -> Callable[..., Any]:
+    def call_or_fail(*args: Any, **kwargs: Any) -> Any:
+        if _fails():
+            number = _draw.choice(errors)
+            raise OSError(number, os.strerror(number))
+        return call(*args, **kwargs)
+
+    return call_or_fail
+
+
+def _failing_start(call: Callable[..., Any]) -> Callable[..., Any]:
+    def start_or_fail(*args: Any, **kwargs: Any) -> Any:
+        if _fails():
+            raise RuntimeError("can't start new thread")
+        return call(*args, **kwargs)
+
+    return start_or_fail
+
+
+def _stepped(call: Callable[[], int]) -> Callable[[], int]:
+    def time_ns() -> int:
+        return call() + _clock_ns + (_step_ns if _age_s() > STEP_AFTER_S else 0)
+
+    return time_ns
+
+
+if _share:
+    patched: Any = socket.socket
+    for name in ("recv", "recv_into", "send", "sendmsg", "setsockopt"):
+        setattr(patched, name, _failing(getattr(socket.socket, name), TRANSIENT_ERRORS))
+    patched.accept = _failing(socket.socket.accept, ACCEPT_ERRORS)
+    patched.connect = _failing(socket.socket.connect, CONNECT_ERRORS)
+    thread_class: Any = threading.Thread
+    thread_class.start = _failing_start(threading.Thread.start)
+    thread_module: Any = _thread
+    thread_module.start_new_thread = _failing_start(_thread.start_new_thread)
+time.time_ns = _stepped(time.time_ns)
--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -116,6 +116,13 @@
             return 0
         return next((int(line.split()[1]) for line in lines if line.startswith(f"{name}:")), 0)
 
+    def descriptor_count(self) -> int:
+        """Open descriptors; 0 once the process has ended."""
+        try:
+            return sum(1 for _ in Path(f"/proc/{self.pid}/fd").iterdir())
+        except OSError:
+            return 0
+
     def named_events(self, name: str) -> list[dict[str, Any]]:
         """The log's events of a name so far."""
         return [event for event in list(self.events) if event["event"] == name]
