Invalidations and stored responses no longer rest on the wall clock; soak oracle traced

Cause: the soak served responses older than an invalidation where the clock was behind: a response under way at its invalidation was stored with its arrival as its time. Change: such a response is not stored; times of other machines are put on this clock by what was seen of them; invalidations of the start count by their distance from the last one.

--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -119,8 +119,9 @@
             self._request_resync(response_index)
             return
         self._is_resyncing = False
+        youngest_age = None if is_live else _youngest_age(events)
         for event in events:
-            self._deliver(event, is_live)
+            self._deliver(event, youngest_age)
         self._last_index = max(self._last_index, response_index)
 
     def _new_events(self, response: FieldReader) -> list[NumberedEvent]:
@@ -150,11 +151,9 @@
             self._last_index = 0
             self._lagging_responses = 0
 
-    def _deliver(self, numbered: NumberedEvent, is_live: bool) -> None:
-        event = numbered.event
-        if event is not None:
-            if is_live:
-                event = _without_clock(event)
+    def _deliver(self, numbered: NumberedEvent, youngest_age: int | None) -> None:
+        if numbered.event is not None:
+            event = _without_clock(numbered.event, youngest_age)
             self._post(self._restored_if_first(event))
         self._last_index = numbered.index
 
@@ -167,13 +166,21 @@
         return DiscoveryEvent(restored, event.addresses)
 
 
-def _without_clock(event: DiscoveryEvent) -> DiscoveryEvent:
-    """Has an invalidation count from when it was told.
+def _youngest_age(events: list[NumberedEvent]) -> int:
+    """The age of the last invalidation by this process's clock; 0 where there is none."""
+    changes = [numbered.event.change for numbered in events if numbered.event is not None]
+    return min((change.age for change in changes if isinstance(change, api.Invalidation)), default=0)
+
+
+def _without_clock(event: DiscoveryEvent, youngest_age: int | None) -> DiscoveryEvent:
+    """Has an invalidation count from when it was told, at the earliest.
 
     Its age by this process's clock may be wrong either way. One that is taken for older than it is would let
-    older responses pass; taken for younger, it costs fills of what was generated since.
+    older responses pass; taken for younger, it costs fills of what was generated since. Of those of the start
+    (which have a youngest one) only the differences are sure: the last one may have come just now.
     """
-    if not isinstance(event.change, api.Invalidation):
+    change = event.change
+    if not isinstance(change, api.Invalidation):
         return event
-    change = api.Invalidation(event.change.object, event.change.group, 0)
-    return DiscoveryEvent(change, event.addresses)
+    age = 0 if youngest_age is None else change.age - youngest_age
+    return DiscoveryEvent(api.Invalidation(change.object, change.group, age), event.addresses)
--- a/olivepost/proxy/upstream/completion.py
+++ b/olivepost/proxy/upstream/completion.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from olivepost import interface as api
+from olivepost.proxy.clock import Clock
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.exchange import Response, ResponseKind
 from olivepost.proxy.upstream.line_protocol import ResponseLine
@@ -33,11 +34,12 @@
 
 
 def completed_from_response(
-    request: UpstreamRequest, line: ResponseLine, completed_at: int, log: EventLog
+    request: UpstreamRequest, line: ResponseLine, clock: Clock, log: EventLog
 ) -> UpstreamCompleted:
     """Return how a request ended, by its response's line and the body read for it."""
     cache_status = CACHE_STATUSES.get(line.fields.get("why", ""), api.CacheStatus.UNKNOWN)
-    response = _response(request, line, completed_at)
+    completed_at = clock.now()
+    response = _response(request, line, clock, completed_at)
     if response is not None:
         status = api.AttemptStatus.OK
     elif request.lacks_buffers:
@@ -72,11 +74,13 @@
         is_repeated_loss = True
 
 
-def _response(request: UpstreamRequest, line: ResponseLine, completed_at: int) -> Response | None:
+def _response(
+    request: UpstreamRequest, line: ResponseLine, clock: Clock, completed_at: int
+) -> Response | None:
     """Return the response to pass on; None where the endpoint served none."""
     etag = line.fields.get("entity", "")
     if line.status == "HIT" and request.body is not None:
-        generated_at = _generated_at(line.fields.get("issued", ""), completed_at)
+        generated_at = _generated_at(line.fields.get("issued", ""), clock, completed_at)
         return Response(ResponseKind.SERVED, etag, request.body, generated_at)
     # Only the very response that the client holds, by its tag, may be called not modified.
     if line.status == "VALID" and etag and etag == request.exchange.etag:
@@ -84,10 +88,14 @@
     return None
 
 
-def _generated_at(issued: str, completed_at: int) -> int:
-    """Return Unix nanoseconds from the field's milliseconds; 0 where it is missing or malformed.
+def _generated_at(issued: str, clock: Clock, completed_at: int) -> int:
+    """Return nanoseconds on this clock from the field's milliseconds; 0 where it is missing or malformed.
 
-    No response was generated after it came: where this process's clock is behind, it counts as new then.
+    No response was generated after it came: one that says so shows how far this clock is behind.
     """
     is_timestamp = issued.isascii() and issued.isdigit() and len(issued) <= MAX_TIMESTAMP_DIGITS
-    return min(int(issued) * MILLISECOND, completed_at) if is_timestamp else 0
+    if not is_timestamp:
+        return 0
+    unix_ns = int(issued) * MILLISECOND
+    clock.observe(unix_ns)
+    return min(clock.from_unix(unix_ns), completed_at)
--- a/olivepost/proxy/upstream/reader.py
+++ b/olivepost/proxy/upstream/reader.py
@@ -124,10 +124,9 @@
 
     def _finish_response(self) -> None:
         """Complete the request whose response has come in full."""
-        completed_at = self._resources.clock.now()
         request = self._request
         self._request = None
         if request is None or self._line is None or not self._connection.complete(request):
             return
-        completed = completed_from_response(request, self._line, completed_at, self._resources.log)
+        completed = completed_from_response(request, self._line, self._resources.clock, self._resources.log)
         self._resources.post(completed)
--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -192,7 +192,7 @@
         is_ok = outcome.status is api.AttemptStatus.OK
         if is_ok:
             outcomes.record_response(self._state, now, pending, attempt, outcome)
-            if invalidation.should_store(self._state, pending):
+            if invalidation.should_store(self._state, pending, attempt.sent_at):
                 self._state.actions.append(api.StoreResponse(outcome.request_id))
         else:
             outcomes.record_failed_attempt(self._state, now, pending, attempt, outcome)
--- a/olivepost/routing/invalidation.py
+++ b/olivepost/routing/invalidation.py
@@ -41,7 +41,11 @@
     return True
 
 
-def should_store(state: RoutingState, pending: PendingRequest) -> bool:
-    """Whether the response that has just come goes into the proxy's own cache: that of a repeated name."""
+def should_store(state: RoutingState, pending: PendingRequest, sent_at: int) -> bool:
+    """Whether the response that has just come goes into the proxy's own cache: that of a repeated name.
+
+    Not where an invalidation came after its attempt was sent: the response may be older.
+    """
     is_repeat = pending.name_remaining is not None and bool(pending.storing_cache)
-    return pending.rank > 0 and is_repeat and state.settings.local_transfer_capacity > 0
+    is_current = state.invalidations.latest(pending.request) < sent_at
+    return pending.rank > 0 and is_repeat and is_current and state.settings.local_transfer_capacity > 0
--- a/tests/proxy/test_cached_responses.py
+++ b/tests/proxy/test_cached_responses.py
@@ -9,6 +9,7 @@
 
 from examples.toy_server import Command, Member, body_of, serve_all, tag_of
 from olivepost.proxy.exchange_lifecycle import DISCOVERY_VALID_FOR
+from tests.proxy.fakes import HeldReplies
 from tests.rig import NAME, Client, Rig, rig
 
 CACHE_CONFIG: dict[str, Any] = {"flow_bytes_per_s": 100_000_000, "link_bytes_per_s": 400_000_000}
@@ -69,6 +70,22 @@
         assert made.until(lambda: len(made.proxy.response_cache) == 0)
 
 
+def test_response_that_was_under_way_at_its_invalidation_is_not_stored() -> None:
+    held = HeldReplies()
+    with rig(held, **CACHE_CONFIG) as made, made.client() as client:
+        assert made.until(lambda: made.proxy.event_loop._lifecycle.discovery_heard_at)
+        held.gate.set()
+        assert client.ask()[0] == 200
+        held.gate.clear()
+        client.send(Client.request(patience=15_000))
+        made.fetches(2)
+        made.coordinator.add(evict={"shard": 17, "unix_ms": time.time_ns() // 1_000_000})
+        assert made.until(lambda: len(made.proxy.event_loop.router.state.invalidations) == 1)
+        held.gate.set()
+        assert client.read()[0] == 200
+        assert len(made.proxy.response_cache) == 0
+
+
 def request_repeatedly(made: Rig, client: Client) -> None:
     """Asks until a response is stored."""
     assert made.until(lambda: made.proxy.event_loop._lifecycle.discovery_heard_at)
--- a/tests/proxy/test_clock.py
+++ b/tests/proxy/test_clock.py
@@ -22,3 +22,15 @@
     first = clock.now()
     assert abs(first - time.time_ns()) < 5_000_000_000
     assert clock.now() >= first
+
+
+def test_times_of_other_machines_are_put_on_a_clock_that_is_behind() -> None:
+    clock = Clock()
+    now = clock.now()
+    assert clock.from_unix(now) == now
+    clock.observe(now - 5_000_000_000)  # an old time says nothing
+    assert clock.from_unix(now) == now
+    clock.observe(clock.now() + 3_600_000_000_000)
+    later = clock.from_unix(now + 3_600_000_000_000)
+    assert abs(later - now) < 1_000_000_000
+    assert clock.now() - now < 1_000_000_000  # spans stay as they are
--- a/tests/proxy/test_discovery_changes.py
+++ b/tests/proxy/test_discovery_changes.py
@@ -14,6 +14,8 @@
 from olivepost import interface as api
 from olivepost.config import read_address, read_config
 from olivepost.proxy.discovery import long_poll
+from olivepost.proxy.discovery.client import DiscoveryClient
+from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
 from olivepost.proxy.messages import StopEventLoop
 from olivepost.proxy.server import ConfigurationSource, ProxyServer
 from tests.proxy.fakes import MS, cache_a_is_draining, draining_entries
@@ -279,3 +281,29 @@
         made.event_loop.post(StopEventLoop())
         made.log.close(WITHIN)
         os.close(nowhere)
+
+
+@pytest.mark.parametrize("clock_error_ms", [0, 5_000, -5_000, HOUR_MS, -HOUR_MS])
+def test_invalidations_of_the_start_are_no_older_than_their_distance_from_the_last(
+    clock_error_ms: int,
+) -> None:
+    """This process's clock may be wrong: only differences are sure, and the last one may be new."""
+    now_ms = time.time_ns() // 1_000_000 - clock_error_ms
+    updates = [
+        {"index": index, "evict": {"shard": index, "unix_ms": now_ms - age_ms}}
+        for index, age_ms in enumerate((9_000, 2_000), 1)
+    ]
+    ages: list[int] = []
+
+    def post(event: DiscoveryEvent | DiscoveryHeartbeat) -> None:
+        if isinstance(event, DiscoveryEvent) and isinstance(event.change, api.Invalidation):
+            ages.append(event.change.age)
+
+    with rig() as made:
+        nowhere = read_address("127.0.0.1:9")
+        client = DiscoveryClient(nowhere, made.proxy.clock, made.proxy.log, post, seed=1)
+        client.start({"index": 2, "updates": updates})
+        client.stop()
+    assert len(ages) == 2
+    assert ages[1] == 0
+    assert 0 <= ages[0] <= 7_000 * MS
--- a/tests/proxy/test_upstream_rules.py
+++ b/tests/proxy/test_upstream_rules.py
@@ -38,6 +38,17 @@
 )
 
 
+class ClockAt(Clock):
+    """A clock that stands still."""
+
+    def __init__(self, now: int) -> None:
+        super().__init__()
+        self._now = now
+
+    def now(self) -> int:
+        return self._now
+
+
 def exchange_with(etag: str = "", idempotency_key: str = "") -> Exchange:
     return Exchange(
         id="0123456789abcdef",
@@ -146,7 +157,7 @@
 def test_failure_status_ends_the_attempt_with_its_own_status(
     status: str, expected: api.AttemptStatus, log: EventLog
 ) -> None:
-    completed = completed_from_response(request_with(), line(status, why="lacking"), START, log)
+    completed = completed_from_response(request_with(), line(status, why="lacking"), ClockAt(START), log)
     assert (completed.status, completed.cache_status) == (expected, api.CacheStatus.SOURCE_MISS)
     assert completed.response is None
     assert not log.counters()
@@ -155,7 +166,8 @@
 @pytest.mark.parametrize("unknown", ["HIT", "PONG", "hit", "VALID"])
 def test_response_that_serves_nothing_is_an_error_and_counted(unknown: str, log: EventLog) -> None:
     assert (
-        completed_from_response(request_with(), line(unknown), START, log).status is api.AttemptStatus.ERROR
+        completed_from_response(request_with(), line(unknown), ClockAt(START), log).status
+        is api.AttemptStatus.ERROR
     )
     assert log.counters() == {"unexpected_responses": 1}
 
@@ -163,7 +175,7 @@
 def test_response_without_buffers_for_its_body_is_no_fault_of_the_endpoint(log: EventLog) -> None:
     request = request_with()
     request.lacks_buffers = True
-    completed = completed_from_response(request, line("HIT"), START, log)
+    completed = completed_from_response(request, line("HIT"), ClockAt(START), log)
     assert completed.status is api.AttemptStatus.CANCELLED
 
 
@@ -182,7 +194,7 @@
     body = PooledBody.reserve(BufferPool(1, 8), 8, 0)
     assert body is not None
     served = line("HIT", why="warm", entity="tag", issued=issued)
-    completed = completed_from_response(request_with(body=body), served, START, log)
+    completed = completed_from_response(request_with(body=body), served, ClockAt(START), log)
     assert completed.status is api.AttemptStatus.OK
     assert completed.response is not None
     assert completed.response.kind is ResponseKind.SERVED
@@ -191,10 +203,12 @@
 
 
 def test_only_the_clients_own_tag_is_not_modified(log: EventLog) -> None:
-    completed = completed_from_response(request_with("mine"), line("VALID", entity="mine"), START, log)
+    completed = completed_from_response(
+        request_with("mine"), line("VALID", entity="mine"), ClockAt(START), log
+    )
     assert completed.response is not None
     assert completed.response.kind is ResponseKind.NOT_MODIFIED
-    other = completed_from_response(request_with("mine"), line("VALID", entity="other"), START, log)
+    other = completed_from_response(request_with("mine"), line("VALID", entity="other"), ClockAt(START), log)
     assert (other.response, other.status) == (None, api.AttemptStatus.ERROR)
 
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -131,20 +131,29 @@
     def _stood_still(self, begin: float, end: float) -> float:
         return sum(max(0.0, min(end, until) - max(begin, since)) for since, until in self.stops)
 
+    def _due_at(self, begin: float, end: float) -> float:
+        """The end of a span that begins then, put off by each stop within it."""
+        for since, until in sorted(self.stops):
+            if since < end and until > begin:
+                end += until - max(since, begin)
+        return end
+
     def _was_killed_within(self, begin: float, end: float) -> bool:
         return any(begin - CLOSE_CROSSING_S <= at <= end for at in self.killed)
 
     def _violations_of(self, request: ClientRequest) -> list[str]:
-        due_at = request.sent_at + request.timeout_s
-        due_at += ANSWER_SLACK_S + MACHINE_SLACK_S + self._stood_still(request.sent_at, due_at)
+        time_s = request.timeout_s + ANSWER_SLACK_S + MACHINE_SLACK_S
+        due_at = self._due_at(request.sent_at, request.sent_at + time_s)
         if request.outcome is Outcome.LEFT or self._was_killed_within(request.sent_at, due_at):
             return []
         label = f"request {request.id}"
         if request.outcome is Outcome.CLOSED:
-            if not request.is_first_on_connection and request.ended_at - request.sent_at < CLOSE_CROSSING_S:
+            age_s = request.ended_at - request.sent_at
+            if not request.is_first_on_connection and age_s < CLOSE_CROSSING_S:
                 return []
+            after_s = request.sent_at - self.terminated_at
             return [
-                f"{label}: closed unanswered {request.ended_at - request.sent_at:.3f} s after it was sent"
+                f"{label}: closed unanswered {age_s:.3f} s after it was sent, {after_s:.3f} s after SIGTERM"
             ]
         if request.outcome is Outcome.PENDING:
             return [f"{label}: never answered"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -42,6 +42,7 @@
 CLOCK_ERRORS_S = (0, 0, 5, -5, 3_600, -3_600)
 MEMORY_LIMITS_MB = (32, 48, 64, 96)
 SAMPLE_PAUSE_S = 0.05
+MAX_SAMPLE_GAP_S = 0.15
 MAX_RESTART_READY_S = 6.0
 
 
@@ -219,7 +220,12 @@
 
     def _sample(self) -> None:
         """Watches memory and descriptors of the process that runs."""
+        last_at = time.monotonic()
         while not self._is_over.wait(SAMPLE_PAUSE_S):
+            now = time.monotonic()
+            if now - last_at > MAX_SAMPLE_GAP_S:  # this process itself was held up
+                self.oracle.stops.append((last_at, now))
+            last_at = now
             peak_kb = self.proxy.status_kb("VmHWM")
             if peak_kb > self.options.memory_mb * KILOBYTE:
                 self.oracle.fault(f"{peak_kb} KB of {self.options.memory_mb} MB")
@@ -230,6 +236,10 @@
 
     def _findings(self) -> list[str]:
         found = self.oracle.violations()
+        ids = [line.split()[1].rstrip(":") for line in found if line.startswith("request ")]
+        found += [f"log: {event}" for event in self.proxy.events if event.get("request") in ids]
+        if found and self.proxy.named_events("metrics"):
+            found.append(f"log: {self.proxy.named_events('metrics')[-1]['counters']}")
         for event in self.proxy.events:
             if event["event"].endswith("_error"):
                 found.append(f"log: {event}")
@@ -254,7 +264,7 @@
         broken += bool(found)
         print(f"seed {seed}: {len(found) or 'kept'}", flush=True)
         for line in found[:8]:
-            print(f"    {line[:600]}", flush=True)
+            print(f"    {line[:3000]}", flush=True)
     print(f"{len(seeds)} seeds, {broken} broke a rule")
     return int(broken > 0)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,7 +16,7 @@
 
 NOT_RUN_ANSWERS = ("NONE", "SHED", "LATE")
 BODY_REPEATS = 40
-MAX_HANG_S = 4.0
+CARRIED_OUT_WITHIN_S = 5.5  # an invalidation everywhere, less than the settings say
 RESET = b"\1\0\0\0\0\0\0\0"  # SO_LINGER: close with a reset
 
 
@@ -64,6 +64,12 @@
                 if not self._fetch(sock, words[1], fields, began_at):
                     return
 
+    def drop_older(self, name: str, unix_ms: int) -> None:
+        """Carries out an invalidation."""
+        with self._copies_lock:
+            if self._copies.get(name, unix_ms) < unix_ms:
+                del self._copies[name]
+
     def _fetch(self, sock: socket.socket, id_: str, fields: dict[str, str], began_at: float) -> bool:
         """Answers one command, or does not; False where the connection ends."""
         name = fields["name"]
@@ -184,6 +190,9 @@
         unix_ms = time.time_ns() // 1_000_000
         self.coordinator.add(evict={"ref": name, "unix_ms": unix_ms})
         self.oracle.invalidate(name, unix_ms)
+        for endpoint in self.endpoints:
+            delay_s = random.random() * CARRIED_OUT_WITHIN_S
+            threading.Timer(delay_s, endpoint.drop_older, (name, unix_ms)).start()
 
     def close(self) -> None:
         """Ends all endpoints and the coordinator."""
