At the connection cap a place that comes free is taken at once again

Change: only a limit lowered by memory pressure is waited for so. A test floods the cap; it fails without the change.

--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -168,7 +168,13 @@
 
     def _has_room(self) -> bool:
         """Takes a slot, if one is free and the present level of memory use allows one more connection."""
-        return self.open_count < self._connection_limit and self._slots.acquire(blocking=False)
+        return not self._is_at_memory_limit and self._slots.acquire(blocking=False)
+
+    @property
+    def _is_at_memory_limit(self) -> bool:
+        """Whether memory pressure keeps free slots unused."""
+        is_limited = self._connection_limit < self.context.limits.max_client_connections
+        return is_limited and self.open_count >= self._connection_limit
 
     def _record_accept_failure(self, error: OSError) -> None:
         log = self.context.log
@@ -188,11 +194,10 @@
         while not self._stopped.is_set():
             if any(connection.evict() for connection in self._eviction_candidates()):
                 log.increment("connections_evicted")
-            if self.open_count < self._connection_limit:
-                if self._slots.acquire(timeout=SLOT_RETRY_INTERVAL_S):
-                    return True
-            else:
+            if self._is_at_memory_limit:
                 self._stopped.wait(SLOT_RETRY_INTERVAL_S)
+            elif self._slots.acquire(timeout=SLOT_RETRY_INTERVAL_S):
+                return True
         return False
 
     def _eviction_candidates(self) -> list[DownstreamConnection]:
--- a/tests/proxy/test_client_limits.py
+++ b/tests/proxy/test_client_limits.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import threading
+import time
 
 import pytest
 
 from examples.toy_server import Command, Coordinator, Member, serve_all
+from olivepost.proxy.downstream.listener import SLOT_RETRY_INTERVAL_S
 from tests.proxy.fakes import MS, cache_a_is_draining, draining_entries, idle_connection
 from tests.rig import WITHIN, Client, ask_narrowly, large, rig
 
@@ -231,3 +233,15 @@
         again.close()
         for client in idle:
             client.sock.close()
+
+
+def test_flood_of_idle_clients_is_taken_as_fast_as_places_come_free() -> None:
+    """A place that an evicted client leaves goes to the next one at once, not at the next look."""
+    with rig(limits={"sockets": 64, "memory_mb": 64}) as made:
+        flood = [made.client() for _ in range(10 * made.proxy.config.limits.max_client_connections)]
+        began_at = time.monotonic()
+        with made.client() as client:
+            assert client.ask(patience=15_000)[0] == 200
+        assert time.monotonic() - began_at < len(flood) * SLOT_RETRY_INTERVAL_S / 2
+        for idle in flood:
+            idle.sock.close()
