A fault while a connection is taken frees its place; the interpreter's own switch interval

Cause, by reading: an unforeseen error between taking a place and starting its connection kept the place for good; the switch interval was set to the value that the interpreter has by itself. Change: place and socket are given back; the setting goes. A test counts the places.

--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -161,10 +161,15 @@
 
     def _admit(self, sock: socket.socket) -> None:
         """Starts a connection once there is a slot for it."""
-        if self._has_room() or self._wait_for_slot():
+        if not (self._has_room() or self._wait_for_slot()):
+            sock.close()
+            return
+        try:
             self._start_connection(sock)
-        else:
+        except BaseException:
+            self._slots.release()
             sock.close()
+            raise
 
     def _has_room(self) -> bool:
         """Takes a slot, if one is free and the present level of memory use allows one more connection."""
--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -39,9 +39,6 @@
 
 METRICS_INTERVAL = 10 * SECOND
 STDOUT = 1
-# For which a thread may keep the interpreter while others wait. A tenth of it made a full core change
-# threads all the time, a fifth of its work; hurts where a thread computes for long, which none here does.
-SWITCH_INTERVAL_S = 0.005
 # Objects allocated, more than freed, between two collections of cycles: requests make hardly any, and the
 # default of 700 collects after every few dozen of them. Hurts where cycles hold much memory: none here does.
 GC_THRESHOLD = 20_000
@@ -216,7 +213,6 @@
 ) -> int:
     """Runs a proxy until SIGTERM or SIGINT; SIGHUP reloads its configuration. Returns the exit code."""
     threading.stack_size(config.limits.stack_size)
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
         proxy = ProxyServer(config, STDOUT, operator, source, signals.wait)
         proxy.start()
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -57,6 +57,9 @@
         monkeypatch.setattr(made.proxy.downstream, "_start_connection", start)
         lost = made.client()
         assert made.until(lambda: made.counted("accept_error") == 1)
+        assert lost.closed()
+        free = made.proxy.downstream._slots._value
+        assert free == made.proxy.config.limits.max_client_connections
         with made.client() as client:
             assert client.ask()[0] == 200
         lost.sock.close()
