Accept failures and admission faults told apart; a connection that waits for a thread stays

Cause, by reading: an error while a connection was admitted could pass for an empty listener; the connection that waits for a thread could be evicted for one. Change: two steps, two handlers; it is left out.

--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -116,10 +116,11 @@
         if level >= api.MemoryPressureLevel.CLOSE_IDLE:
             self._evict_idle()
 
-    def _evict_idle(self) -> None:
-        """Ends a few connections without a request in flight, the longest idle first."""
+    def _evict_idle(self, needed: DownstreamConnection | None = None) -> None:
+        """Ends a few connections without a request in flight, the longest idle first, but not `needed`."""
         for connection in self._eviction_candidates()[:MAX_EVICTIONS_AT_ONCE]:
-            if not connection.has_pending_response and connection.evict():
+            is_unused = connection is not needed and not connection.has_pending_response
+            if is_unused and connection.evict():
                 self.context.log.increment("connections_evicted")
 
     def drain(self) -> None:
@@ -149,12 +150,15 @@
         while True:
             try:
                 sock, _ = listener.accept()
-                self._admit(sock)
             except BlockingIOError:
                 if self._is_stopping:  # the kernel's queue is empty
                     break
+                continue
             except OSError as error:
                 self._record_accept_failure(error)
+                continue
+            try:
+                self._admit(sock)
             except Exception:  # the top of a thread: no connection's fault may end the listener
                 self.context.log.exception("accept_error")
         listener.close()
@@ -242,7 +246,7 @@
                 _thread.start_new_thread(connection.run, ())
             except RuntimeError:
                 self.context.log.increment("threads_short")
-                self._evict_idle()
+                self._evict_idle(needed=connection)
                 time.sleep(READER_START_PAUSE_S)
             else:
                 return True
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -207,3 +207,15 @@
         assert made.until(lambda: made.counted("poll_failures") >= 2)
         client.send(Client.request())
         assert client.read()[0] == 200
+
+
+def test_connection_that_waits_for_a_thread_is_not_evicted_for_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its request may come while it waits, and longer than an idle connection is left alone."""
+    start = failing(_thread.start_new_thread, RuntimeError("can't start new thread"), 30)
+    with rig() as made:
+        monkeypatch.setattr(_thread, "start_new_thread", start)
+        with made.client() as client:
+            assert made.until(lambda: made.counted("threads_short") >= 20)
+            client.send(Client.request(patience=15_000))
+            assert client.read()[0] == 200
+        assert made.counted("connections_evicted") == 0
