--- a/tests/soak/bad_clients_process.py
+++ b/tests/soak/bad_clients_process.py
@@ -12,17 +12,14 @@
 import contextlib
 import random
 import socket
-import subprocess
 import sys
 import threading
 import time
 from collections.abc import Callable
-from pathlib import Path
-from types import TracebackType
 
 from olivepost.config import Address
+from tests.soak.child_process import ChildProcess
 
-ROOT = Path(__file__).parents[2]
 CONNECTION_TIMEOUT_S = 5.0
 PAUSE_S = 0.02  # between two connections of one thread
 HOLD_S = 0.5  # for which a silent client stays
@@ -31,25 +28,12 @@
 NARROW_BUFFER = 4_096
 
 
-class BadClientsProcess:
-    """A crowd of bad clients as a context manager."""
+class BadClientsProcess(ChildProcess):
+    """A crowd of bad clients."""
 
     def __init__(self, address: Address, clients: int, seed: int) -> None:
         arguments = [address.host, str(address.port), str(clients), str(seed)]
-        command = [sys.executable, "-m", "tests.soak.bad_clients_process", *arguments]
-        self._process = subprocess.Popen(command, cwd=ROOT)
-
-    def __enter__(self) -> BadClientsProcess:
-        return self
-
-    def __exit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._process.kill()
-        self._process.wait()
+        super().__init__("tests.soak.bad_clients_process", arguments)
 
 
 def request(draw: random.Random) -> bytes:
--- a/tests/soak/endpoints_process.py
+++ b/tests/soak/endpoints_process.py
@@ -8,16 +8,13 @@
 
 import itertools
 import json
-import subprocess
 import sys
 import time
-from pathlib import Path
-from types import TracebackType
 from typing import Any
 
 from examples.toy_server import Command, Member, entry, read_command
+from tests.soak.child_process import ChildProcess
 
-ROOT = Path(__file__).parents[2]
 NANOSECONDS_PER_MS = 1_000_000
 # Every so many'th answer is a fill: below its target of hits the router remembers names for longest.
 ANSWERS_PER_FILL = 2
@@ -45,26 +42,13 @@
             command.answer("HIT", self._body, why=status, entity="e1", issued=issued)
 
 
-class EndpointsProcess:
-    """The stand-in endpoints as a context manager; `entries` is their endpoint list."""
+class EndpointsProcess(ChildProcess):
+    """The stand-in endpoints; `entries` is their endpoint list."""
 
     def __init__(self, caches: int, body_bytes: int) -> None:
-        command = [sys.executable, "-m", "tests.soak.endpoints_process", str(caches), str(body_bytes)]
-        self._process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=ROOT)
-        assert self._process.stdout is not None
-        self.entries: list[dict[str, Any]] = json.loads(self._process.stdout.readline())
-
-    def __enter__(self) -> EndpointsProcess:
-        return self
-
-    def __exit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._process.kill()
-        self._process.communicate()
+        super().__init__("tests.soak.endpoints_process", [str(caches), str(body_bytes)], has_pipes=True)
+        assert self.process.stdout is not None
+        self.entries: list[dict[str, Any]] = json.loads(self.process.stdout.readline())
 
 
 def main(caches: int, body_bytes: int) -> None:
--- a/tests/soak/load_process.py
+++ b/tests/soak/load_process.py
@@ -9,16 +9,15 @@
 import random
 import selectors
 import socket
-import subprocess
 import sys
 import time
 from collections import Counter
 from dataclasses import asdict, dataclass
-from pathlib import Path
 
 from olivepost.config import Address
+from tests.soak.child_process import ChildProcess
 
-ROOT = Path(__file__).parents[2]
+END_WITHIN_S = 60.0  # after the load's own time
 RECEIVE_BYTES = 262_144
 NAME_MULTIPLIER = 2_654_435_761  # Knuth's: numbers that follow each other give names spread over all values
 NAME_RANGE = 2**64
@@ -37,18 +36,17 @@
     timeout_ms: int = 3_000
 
 
-class LoadProcess:
+class LoadProcess(ChildProcess):
     """A load in a process of its own."""
 
     def __init__(self, address: Address, options: LoadOptions) -> None:
         arguments = [address.host, str(address.port), json.dumps(asdict(options))]
-        command = [sys.executable, "-m", "tests.soak.load_process", *arguments]
-        self._process = subprocess.Popen(command, stdout=subprocess.PIPE, cwd=ROOT)
-        self._timeout_s = options.duration_s + 60
+        super().__init__("tests.soak.load_process", arguments, has_pipes=True)
+        self._timeout_s = options.duration_s + END_WITHIN_S
 
     def statuses(self) -> Counter[str]:
         """Waits for the end of the load; answers by status."""
-        output, _ = self._process.communicate(timeout=self._timeout_s)
+        output, _ = self.process.communicate(timeout=self._timeout_s)
         return Counter(json.loads(output))
 
 
--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from olivepost.config import Address
+from tests.soak.child_process import ROOT
 
-ROOT = Path(__file__).parents[2]
 READY_WITHIN_S = 30.0
 EXIT_WITHIN_S = 20.0
 KILOBYTE = 1_024
