A socket whose options cannot be set keeps waiting for its client

Cause: an accepted socket inherits the listener's receive timeout of 50 ms; where the option that takes it off could not be set, the reader took the timeout for the connection's end and closed it under its request. Change: a timeout while waiting is no end; options are tried again while the system is short of memory. Two tests force it and fail without the change.

--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -40,14 +40,14 @@
 
     The kernel's own timeouts, so that the two threads of one socket can wait for different times.
     """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    _retry_while_short(lambda: sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1))
     set_receive_timeout(sock, receive_timeout)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_timeout))
+    _retry_while_short(lambda: sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_timeout)))
 
 
 def set_receive_timeout(sock: socket.socket, timeout: int) -> None:
     """Sets how long the next read waits at most; 0: for ever."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(timeout))
+    _retry_while_short(lambda: sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(timeout)))
 
 
 def _timeval(timeout: int) -> bytes:
@@ -76,8 +76,15 @@
 
 
 def wait_readable(sock: socket.socket) -> bool:
-    """Waits until there are bytes, and reads none; false where the peer has closed its side."""
-    return bool(_retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK)))
+    """Waits until there are bytes, and reads none; false where the peer has closed its side.
+
+    An accepted socket has its listener's receive timeout until `configure` takes that off, which may fail.
+    """
+    while True:
+        try:
+            return bool(_retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK)))
+        except BlockingIOError:
+            continue
 
 
 def receive(sock: socket.socket, buffer: memoryview) -> int:
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -15,8 +16,10 @@
 
 from olivepost.proxy import sockets
 from olivepost.proxy.discovery import long_poll
+from olivepost.proxy.downstream.listener import ACCEPT_TIMEOUT_NS
 from olivepost.proxy.upstream import writer
-from tests.proxy.fakes import no_attempt_was_sent
+from olivepost.units import SECOND
+from tests.proxy.fakes import HeldReplies, no_attempt_was_sent
 from tests.rig import Client, Rig, rig
 
 STAND_IN_THREADS = ("MainThread", "Thread-")  # of the client and of the toy endpoints
@@ -100,9 +103,28 @@
 
 def test_connection_whose_options_cannot_be_set_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     with rig() as made:
-        monkeypatch.setattr(sockets, "configure", failing(sockets.configure, os_error(errno.ENOMEM), 1))
+        monkeypatch.setattr(sockets, "configure", failing(sockets.configure, os_error(errno.EINVAL), 1))
         with made.client() as client:
             assert client.ask()[0] == 200
+            # Longer than the listener's receive timeout, which accepted sockets inherit.
+            time.sleep(4 * ACCEPT_TIMEOUT_NS / SECOND)
+            assert client.ask(piece=4)[0] == 200
+
+
+def test_request_is_answered_late_on_a_connection_whose_options_cannot_be_set(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    held = HeldReplies()
+    with rig(held) as made, made.client() as first:
+        held.gate.set()
+        assert first.ask()[0] == 200  # the connections to the caches are there
+        held.gate.clear()
+        monkeypatch.setattr(sockets, "configure", failing(sockets.configure, os_error(errno.EINVAL), 1))
+        with made.client() as client:
+            client.send(Client.request(patience=15_000))
+            time.sleep(2 * ACCEPT_TIMEOUT_NS / SECOND)
+            held.gate.set()
+            assert client.read()[0] == 200
 
 
 def failure_scores(made: Rig) -> list[float]:
