Soak: crowds, slow readers, stalled logs, silent stores, lasting shortages, signal series

Seeds from 1000 on choose, from a random source of their own, a crowd of two to four times the connection cap (a process of its own, which reports late and unanswered requests to the oracle), readers whose large responses are pending at every moment, clients that use a connection until it is closed, a log that nobody reads from before SIGTERM on, shared stores that accept and say nothing, peeks at a socket that fail for good, and SIGTERM, SIGHUP and SIGINT for as long as the process lives. Seeds below 1000 play what they did (test).

A run prints the time of exit and the longest wait for a first response; a process that runs half a second before the kill writes where its main thread is.

--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import signal
 import subprocess
 import threading
+import time
 from pathlib import Path
 from typing import Any, Self
 
@@ -16,6 +18,12 @@
 READY_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 20.0
 KILOBYTE = 1_024
+SMALL_PIPE_BYTES = 4_096  # the least that the system gives a pipe
+DUMP_TIMEOUT_S = 0.5  # for the process to write where its threads are
+DUMP_INTERVAL_S = 0.02
+MAX_STACK_LINES = 8  # the innermost ones
+MAIN_THREAD_MARK = "Current thread"
+DUMP_THREAD_MARK = "hread 0x"
 PROXY_VARIABLES = {"MALLOC_ARENA_MAX": "2", "PYTHONPATH": str(ROOT)}
 
 
@@ -31,7 +39,10 @@
         folder: Path,
         variables: dict[str, str] | None = None,
         preload: str | None = None,
+        has_small_log_pipe: bool = False,
     ) -> None:
+        self._is_log_read = threading.Event()
+        self._is_log_read.set()
         self.events: list[dict[str, Any]] = []
         self.address = Address("", 0)
         self._is_ready = threading.Event()
@@ -44,6 +55,9 @@
             captures_errors=True,
             variables={**os.environ, **PROXY_VARIABLES, **(variables or {})},
         )
+        if has_small_log_pipe:
+            assert self.process.stdout is not None
+            fcntl.fcntl(self.process.stdout, fcntl.F_SETPIPE_SZ, SMALL_PIPE_BYTES)
         self._readers = [
             threading.Thread(target=self._read_log, daemon=True),
             threading.Thread(target=self._read_errors, daemon=True),
@@ -82,6 +96,7 @@
             code = self.process.wait(timeout_s)
         except subprocess.TimeoutExpired:
             return None
+        self._is_log_read.set()
         for reader in self._readers:
             reader.join(EXIT_TIMEOUT_S)
         return code
@@ -91,6 +106,23 @@
         self.signal(signal.SIGKILL)
         self.wait()
 
+    def stall_log(self) -> None:
+        """Reads no further line of the log until the process has ended."""
+        self._is_log_read.clear()
+
+    def main_thread_stack(self) -> str:
+        """Where the main thread is, as the process writes it on SIGUSR1; empty where it does not in time."""
+        known = len(self._error_lines)
+        self.signal(signal.SIGUSR1)
+        for _ in range(int(DUMP_TIMEOUT_S / DUMP_INTERVAL_S)):
+            time.sleep(DUMP_INTERVAL_S)
+            lines = self._error_lines[known:]
+            starts = [number for number, line in enumerate(lines) if DUMP_THREAD_MARK in line]
+            mains = [start for start in starts if MAIN_THREAD_MARK in lines[start]]
+            if mains:
+                return " < ".join(line.strip() for line in lines[mains[0] + 1 :][:MAX_STACK_LINES])
+        return ""
+
     def status_kb(self, name: str) -> int:
         """A value of /proc/PID/status in KB: `VmRSS` now, `VmHWM` at most; 0 once the process has ended."""
         try:
@@ -113,6 +145,7 @@
     def _read_log(self) -> None:
         assert self.process.stdout is not None
         for line in self.process.stdout:
+            self._is_log_read.wait()
             event = json.loads(line)
             self.events.append(event)
             if event["event"] == "started":
--- /dev/null
+++ b/tests/soak/silent_store.py
@@ -0,0 +1,31 @@
+"""Shared stores that accept connections and never respond."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from examples.toy_server import address_of, listen
+from tests.closed_at_exit import ClosedAtExit
+
+
+class SilentStores(ClosedAtExit):
+    """Listeners whose connections nobody reads, and the operator's file that names them."""
+
+    def __init__(self, count: int, folder: Path) -> None:
+        self._listeners = [listen(0) for _ in range(count)]
+        self.variables: dict[str, str] = {}  # of a proxy that uses them
+        if count:
+            path = folder / "operator.yaml"
+            path.write_text(self._operator_file())
+            self.variables = {"OLIVEPOST_OPERATOR": str(path)}
+
+    def _operator_file(self) -> str:
+        lines = ["sharing:", "  branch: west", "  stores:"]
+        for number, listener in enumerate(self._listeners):
+            lines.append(f"    - {{name: store-{number}, address: '{address_of(listener)}'}}")
+        return "\n".join(lines) + "\n"
+
+    def close(self) -> None:
+        """Closes the listeners."""
+        for listener in self._listeners:
+            listener.close()
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -66,3 +66,14 @@
         oracle.add_arrival(arrival)
     found = oracle.violations()
     assert (message in found[0]) if message else not found
+
+
+def test_oracle_reports_a_forwarded_request_only_after_an_announced_close() -> None:
+    oracle = Oracle("order", load_id_prefix="load")
+    oracle.add_request(completed_request(is_after_announced_close=True, outcome=Outcome.CLOSED))
+    assert oracle.violations() == []
+    oracle.add_arrival(Arrival("load1", "c0", "c0", "n", 10.1))  # of the crowd, whose process keeps it
+    assert oracle.violations() == []
+    oracle.add_arrival(Arrival("a", "c0", "c0", "n", 10.1))
+    (found,) = oracle.violations()
+    assert "whose end was announced" in found
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.soak.child_process import ChildProcess
-from tests.soak.options import SoakOptions
+from tests.soak.options import FIRST_PRESSURE_SEED, PressureOptions, SoakOptions
 
 SEEDS = (3, 21, 38, 43)
 RUN_TIMEOUT_S = 90.0
@@ -52,3 +52,9 @@
     assert any(option.failing_calls > 0.05 for option in options)
     assert any(option.clock_s or option.step_s for option in options)
     assert any(option.has_idle_clients for option in options)
+
+
+def test_seeds_below_the_first_with_pressure_play_what_they_did() -> None:
+    options = SoakOptions.sample(random.Random(0))
+    assert PressureOptions.sample(FIRST_PRESSURE_SEED - 1, options) == PressureOptions()
+    assert PressureOptions.sample(FIRST_PRESSURE_SEED, options) != PressureOptions()
