Clients beyond the connection cap take turns, and get 503 where no slot becomes free

Cause: only a connection idle for 50 ms can be evicted. A client that returns sooner holds its slot for good. Evidence: connection_cap_reached 1 or 2 and connections_evicted 0 in such a run: the first wait of the accept thread never ended.

Fix: while a client waits and none can be evicted, each response announces the end of its connection (RFC 9112, section 9.6), so slots rotate; that holds under the limit of memory pressure too, and not for a flood of connections without requests, which are evicted soon. Where no slot becomes free, 503: 0.7 s are divided by the number of connections in the kernel's accept queue; while the mean wait lets all through in that time, each waits 0.1 s at least.

--- a/olivepost/proxy/downstream/connection_admission.py
+++ b/olivepost/proxy/downstream/connection_admission.py
@@ -3,18 +3,26 @@
 from __future__ import annotations
 
 import _thread
+import contextlib
 import socket
 import threading
 import time
 
+from olivepost.proxy import sockets
 from olivepost.proxy.downstream.connection import DownstreamConnection
 from olivepost.proxy.downstream.connection_lifecycle import ConnectionLifecycle
 from olivepost.proxy.downstream.connection_set import ConnectionSet
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.eviction import ConnectionEvictor
 from olivepost.proxy.downstream.response_writer import ResponseWriters
+from olivepost.proxy.http1 import response_head
 
 SLOT_RETRY_INTERVAL_S = 0.02  # between two attempts to evict a connection at the cap
+# For a client and all that wait behind it, until each has a slot or a rejection.
+MAX_SLOT_WAIT_S = 0.7
+# For one client, where slots become free often enough for all: the youngest connections can't be evicted yet.
+PATIENT_SLOT_WAIT_S = 0.1
+SLOT_WAIT_STEP = 0.25  # weight of a new sample in the mean wait for a slot
 # Attempts to start a connection's reader thread, and the pause between two: a second in all.
 READER_START_ATTEMPTS = 100
 READER_START_PAUSE_S = 0.01
@@ -42,11 +50,15 @@
         self._stopped = stopped
         self._writers = ResponseWriters(context.limits.writer_threads, context.log)
         self._slots = threading.Semaphore(context.limits.max_client_connections)
+        self._mean_slot_wait_s = 0.0  # of the last clients at the cap; the accept thread's
 
-    def admit(self, sock: socket.socket) -> None:
-        """Starts a connection once there is a slot; closes the socket where `stopped` is set before."""
-        if not (self._take_free_slot() or self._wait_for_slot()):
-            sock.close()
+    def admit(self, sock: socket.socket, waiting_count: int) -> None:
+        """Starts a connection once there is a slot; rejects it where there is none in time.
+
+        `waiting_count` is the number of connections that wait to be accepted behind this one.
+        """
+        if not (self._take_free_slot() or self._wait_for_slot(self._slot_timeout_s(1 + waiting_count))):
+            self._reject(sock)
             return
         try:
             self._start_connection(sock)
@@ -65,17 +77,49 @@
         is_limited = self.connection_limit < self._context.limits.max_client_connections
         return is_limited and len(self._connections) >= self.connection_limit
 
-    def _wait_for_slot(self) -> bool:
-        """Takes a slot at the cap: evicts a connection, or waits where none can be; False where it stops."""
-        self._context.log.increment("connection_cap_reached")
-        while not self._stopped.is_set():
-            self._evictor.evict_one()
-            if self._is_at_memory_limit:
-                self._stopped.wait(SLOT_RETRY_INTERVAL_S)
-            elif self._slots.acquire(timeout=SLOT_RETRY_INTERVAL_S):
-                return True
+    def _slot_timeout_s(self, client_count: int) -> float:
+        """How long the first of the waiting clients may wait, for all to have a response in time."""
+        timeout_s = MAX_SLOT_WAIT_S / client_count
+        if self._mean_slot_wait_s * client_count <= MAX_SLOT_WAIT_S:
+            return max(timeout_s, PATIENT_SLOT_WAIT_S)
+        return timeout_s
+
+    def _wait_for_slot(self, timeout_s: float) -> bool:
+        """Takes a slot at the cap; False where there is none in time, or `stopped` is set.
+
+        Evicts an idle connection. Where all are in use, responses end their connections meanwhile, so that
+        clients take turns; but not for a flood of connections without requests, which are evicted soon.
+        """
+        context = self._context
+        context.log.increment("connection_cap_reached")
+        began_at = time.monotonic()
+        remaining_s = timeout_s
+        try:
+            while remaining_s > 0 and not self._stopped.is_set():
+                is_evicted = self._evictor.evict_one()
+                context.is_slot_wanted = not is_evicted and not self._evictor.has_unused_flood
+                pause_s = min(SLOT_RETRY_INTERVAL_S, remaining_s)
+                if self._is_at_memory_limit:
+                    self._stopped.wait(pause_s)
+                elif self._slots.acquire(timeout=pause_s):
+                    return True
+                remaining_s = began_at + timeout_s - time.monotonic()
+        finally:
+            context.is_slot_wanted = False
+            self._mean_slot_wait_s += SLOT_WAIT_STEP * (time.monotonic() - began_at - self._mean_slot_wait_s)
         return False
 
+    def _reject(self, sock: socket.socket) -> None:
+        """Responds 503 to a client that gets no slot, without waiting for it, and closes the connection.
+
+        What it has sent is received first: a close over unread bytes would reset the connection.
+        """
+        self._context.log.increment("connections_rejected")
+        with sock, contextlib.suppress(OSError):
+            sockets.send_buffers(sock, [response_head(503, 0, {}, closes=True)], socket.MSG_DONTWAIT)
+            sock.shutdown(socket.SHUT_WR)
+            sock.recv(self._context.limits.max_head_bytes, socket.MSG_DONTWAIT)
+
     def _start_connection(self, sock: socket.socket) -> None:
         connection = DownstreamConnection(self._context, sock, self._writers, self._remove)
         self._connections.add(connection.lifecycle)
--- a/olivepost/proxy/downstream/connection_lifecycle.py
+++ b/olivepost/proxy/downstream/connection_lifecycle.py
@@ -63,7 +63,7 @@
         self.is_closed = False  # by the client, or after our close
         self.close_reason = CloseReason.CLIENT_CLOSED  # as long as the proxy has not closed it
         self.has_received_request = False  # a complete request was received
-        self.idle_since: Instant = context.clock.now()  # when the connection last became idle
+        self.idle_since: Instant = context.clock.now()  # when it last became idle, or was half-closed
         # When the connection must have left its present state, whatever bytes arrive until then; None while a
         # request is in flight, which has the event loop's own deadline.
         self.deadline: Instant | None = self.idle_since + context.limits.first_request_timeout
@@ -160,7 +160,8 @@
     @property
     def stays_open(self) -> bool:
         """Whether the connection stays open after the response in hand."""
-        return self.keeps_alive and not self._context.is_draining
+        context = self._context
+        return self.keeps_alive and not (context.is_draining or context.is_slot_wanted)
 
     def become_idle(self) -> None:
         """No request is in flight: the next one must be complete by the keep-alive deadline."""
@@ -177,7 +178,8 @@
         """Closes our side; the client has the linger timeout to close its own."""
         self.record_close_reason(reason)
         self.is_closing = True
-        self.deadline = self._context.clock.now() + LINGER_TIMEOUT
+        self.idle_since = self._context.clock.now()
+        self.deadline = self.idle_since + LINGER_TIMEOUT
         self.parser.clear()
         self.body_reservation.release()
         sockets.shutdown(self.sock, socket.SHUT_WR)
--- a/olivepost/proxy/downstream/context.py
+++ b/olivepost/proxy/downstream/context.py
@@ -18,7 +18,8 @@
 class DownstreamContext:
     """The services and limits that connections use.
 
-    Any thread may read it. Only `is_draining` changes, once: the main thread sets it at the shutdown.
+    Any thread may read it. Two fields change: the main thread sets `is_draining`, once, at the shutdown, and
+    the accept thread sets `is_slot_wanted` while a client waits for a slot.
     """
 
     limits: ResourceLimits
@@ -28,6 +29,7 @@
     log: EventLog
     post: Callable[[RequestReceived | RequestAbandoned], None]  # to the event loop
     is_draining: bool = False  # every response from now on ends its connection
+    is_slot_wanted: bool = False  # every response ends its connection, for a client that waits for a slot
     large_bodies: LargeBodyBudget = field(init=False)
 
     def __post_init__(self) -> None:
--- a/olivepost/proxy/downstream/eviction.py
+++ b/olivepost/proxy/downstream/eviction.py
@@ -30,6 +30,11 @@
         self._context.log.increment("connections_evicted")
         return True
 
+    @property
+    def has_unused_flood(self) -> bool:
+        """Whether connections without any request take a large share of the cap."""
+        return self._is_flood(self._unused(self._connections.snapshot()))
+
     def evict_idle(self, needed: ConnectionLifecycle | None = None) -> None:
         """Closes up to `MAX_EVICTIONS_AT_ONCE` connections without a pending response, but not `needed`."""
         for connection in self._candidates()[:MAX_EVICTIONS_AT_ONCE]:
@@ -41,10 +46,9 @@
         """Connections to evict, in order: those without any request yet, else the longest idle."""
         latest = self._context.clock.now() - MIN_IDLE_BEFORE_EVICTION
         connections = self._connections.snapshot()
-        unused = [connection for connection in connections if not connection.has_received_request]
+        unused = self._unused(connections)
         candidates = [connection for connection in unused if connection.idle_since < latest]
-        flood_size = self._context.limits.max_client_connections // UNUSED_FLOOD_DIVISOR
-        if not candidates and len(unused) < flood_size:
+        if not candidates and not self._is_flood(unused):
             candidates = [
                 connection
                 for connection in connections
@@ -53,3 +57,9 @@
         return sorted(
             candidates, key=lambda connection: (connection.has_pending_response, connection.idle_since)
         )
+
+    def _unused(self, connections: list[ConnectionLifecycle]) -> list[ConnectionLifecycle]:
+        return [connection for connection in connections if not connection.has_received_request]
+
+    def _is_flood(self, unused: list[ConnectionLifecycle]) -> bool:
+        return len(unused) >= self._context.limits.max_client_connections // UNUSED_FLOOD_DIVISOR
--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -25,13 +25,13 @@
 
 
 class Listener:
-    """Accepts connections, and gives each socket to `admit`, which may wait.
+    """Accepts connections, and gives each socket to `admit`, which may wait, with the number behind it.
 
     The main thread calls `listen` once and then `stop`; `admit` runs on the accept thread, which closes the
     listening socket.
     """
 
-    def __init__(self, log: EventLog, backlog: int, admit: Callable[[socket.socket], None]) -> None:
+    def __init__(self, log: EventLog, backlog: int, admit: Callable[[socket.socket, int], None]) -> None:
         self._log = log
         self._backlog = backlog
         self._admit = admit
@@ -90,7 +90,7 @@
                 self._record_accept_failure(error)
                 continue
             try:
-                self._admit(sock)
+                self._admit(sock, sockets.accept_queue_length(listener))
             except Exception:  # the top of a thread: no connection's fault may end the listener
                 log.exception("accept_error")
         listener.close()
--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -26,6 +26,11 @@
 # Errors of connecting that this machine causes, and that indicate nothing about the remote side.
 LOCAL_FAILURES = (*SHORTAGES, errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.EAGAIN)
 
+# Of a listener, the field `tcpi_unacked` of the kernel's `struct tcp_info` is the length of its accept queue.
+ACCEPT_QUEUE_FIELD = struct.Struct("I")
+ACCEPT_QUEUE_OFFSET = 24
+TCP_INFO_BYTES = ACCEPT_QUEUE_OFFSET + ACCEPT_QUEUE_FIELD.size
+
 NANOSECONDS_PER_MICROSECOND = 1_000
 MICROSECONDS_PER_SECOND = 1_000_000
 
@@ -50,6 +55,16 @@
     _retry_while_short(lambda: sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(timeout)))
 
 
+def accept_queue_length(listener: socket.socket) -> int:
+    """Connections that the kernel has accepted and the process has not; 0 where the system doesn't tell."""
+    try:
+        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (length,) = ACCEPT_QUEUE_FIELD.unpack_from(info, ACCEPT_QUEUE_OFFSET)
+    except (OSError, struct.error):
+        return 0
+    return int(length)
+
+
 def _timeval(timeout: Duration) -> bytes:
     """A timeout as the kernel's `struct timeval`, rounded up, since 0 means for ever there."""
     microseconds = -(-timeout // NANOSECONDS_PER_MICROSECOND)
--- a/tests/proxy/test_client_limits.py
+++ b/tests/proxy/test_client_limits.py
@@ -9,8 +9,15 @@
 import pytest
 
 from examples.toy_server import Coordinator
+from olivepost.proxy.downstream import connection_admission
 from olivepost.proxy.downstream.connection_admission import SLOT_RETRY_INTERVAL_S
-from tests.proxy.fakes import MS, DelayedReplies, cache_a_is_draining, draining_entries, idle_connection
+from tests.proxy.fakes import (
+    MS,
+    DelayedReplies,
+    cache_a_is_draining,
+    draining_entries,
+    idle_connection,
+)
 from tests.proxy_harness import (
     WAIT_TIMEOUT_S,
     HttpClient,
@@ -112,6 +119,79 @@
             client.sock.close()
 
 
+MANY_REQUESTS = 200  # of one client
+FEW_CONNECTIONS = {"sockets": 64, "memory_mb": 64}
+
+
+def test_responses_end_connections_only_while_a_client_waits_for_a_slot() -> None:
+    delayed_replies = DelayedReplies()
+    with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
+        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
+        for client in clients:
+            client.send(HttpClient.encode_request(timeout_ms=15_000))
+        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        with proxy.connect() as late:
+            late.send(HttpClient.encode_request(timeout_ms=15_000))
+            assert proxy.wait_until(lambda: proxy.parts.downstream.context.is_slot_wanted)
+            delayed_replies.may_reply.set()
+            assert "close" in [client.read_response().headers.get("connection") for client in clients]
+            assert late.read_response().status == 200
+            assert proxy.wait_until(lambda: not proxy.parts.downstream.context.is_slot_wanted)
+            assert "connection" not in late.request(timeout_ms=15_000).headers
+        for client in clients:
+            client.sock.close()
+
+
+def test_client_is_rejected_where_no_slot_becomes_free_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against silence: all slots are taken by requests without a response."""
+    monkeypatch.setattr(connection_admission, "MAX_SLOT_WAIT_S", 0.1)
+    monkeypatch.setattr(connection_admission, "PATIENT_SLOT_WAIT_S", 0.1)
+    delayed_replies = DelayedReplies()
+    with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
+        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
+        for client in clients:
+            client.send(HttpClient.encode_request(timeout_ms=15_000))
+        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        for _ in range(2):
+            with proxy.connect() as late:
+                status, headers, _ = late.request(timeout_ms=15_000)
+                assert (status, headers["connection"]) == (503, "close")
+                assert late.is_closed_by_proxy()
+        assert proxy.counter("connections_rejected") == 2
+        delayed_replies.may_reply.set()
+        assert [client.read_response().status for client in clients] == [200] * len(clients)
+        for client in clients:
+            client.sock.close()
+
+
+def test_flood_of_connections_without_a_request_ends_no_connection_in_use() -> None:
+    with running_proxy(limits=FEW_CONNECTIONS, bounds={"first_request_timeout": 60 * 10**9}) as proxy:
+        cap = proxy.parts.config.limits.max_client_connections
+        with proxy.connect() as served:
+            assert served.request().status == 200
+            unused = [proxy.connect() for _ in range(3 * cap)]
+            while proxy.counter("connections_evicted") < cap:
+                assert "connection" not in served.request().headers
+            for client in unused:
+                client.sock.close()
+
+
+def test_client_beyond_the_limit_of_memory_pressure_takes_its_turn() -> None:
+    with running_proxy() as proxy, proxy.connect() as busy:
+        assert busy.request().status == 200
+        proxy.parts.downstream.limit_connections(1)
+        with proxy.connect() as late:
+            late.send(HttpClient.encode_request(timeout_ms=15_000))
+            headers: dict[str, str] = {}
+            with contextlib.suppress(ConnectionError):  # it may also be evicted between two requests
+                for _ in range(MANY_REQUESTS):
+                    if "connection" in headers:
+                        break
+                    headers = busy.request(timeout_ms=15_000).headers
+            busy.sock.close()
+            assert late.read_response().status == 200
+
+
 SHORT_TIMEOUTS = {"first_request_timeout": 300_000_000, "keepalive_timeout": 300_000_000}
 
 
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -1,12 +1,13 @@
-"""Socket timeouts as the kernel takes them."""
+"""What the proxy asks of the kernel about its sockets."""
 
 from __future__ import annotations
 
+import socket
 import struct
 
 import pytest
 
-from olivepost.proxy.sockets import _timeval
+from olivepost.proxy.sockets import _timeval, accept_queue_length
 
 
 @pytest.mark.parametrize(
@@ -15,3 +16,15 @@
 )
 def test_timeout_is_never_rounded_to_for_ever(timeout: int, timeval: tuple[int, int]) -> None:
     assert struct.unpack("ll", _timeval(timeout)) == timeval
+
+
+def test_accept_queue_length_counts_connections_that_are_not_accepted_yet() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        assert accept_queue_length(listener) == 0
+        clients = [socket.create_connection(listener.getsockname()) for _ in range(3)]
+        assert accept_queue_length(listener) == 3
+        listener.accept()[0].close()
+        assert accept_queue_length(listener) == 2
+        for client in clients:
+            client.close()
+    assert accept_queue_length(listener) == 0  # closed: the system doesn't tell
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -155,7 +155,7 @@
     def _use_until_closed(self, sock: socket.socket, random_source: random.Random) -> None:
         is_first = True
         is_open = True
-        while not self._is_stopped.wait(PERSISTENT_CLIENT_INTERVAL_S):
+        while not self._is_stopped.is_set():
             request = self.new_request(random_source)
             request.is_first_on_connection = is_first
             request.is_after_announced_close = not is_open
@@ -165,6 +165,7 @@
             if request.outcome is not Outcome.COMPLETED:
                 return
             is_first = False
+            self._is_stopped.wait(PERSISTENT_CLIENT_INTERVAL_S)
 
     def _run_misbehaving_client(self, random_source: random.Random) -> None:
         while not self._is_stopped.wait(random_source.random() * 0.2):
--- a/tests/soak/load_process.py
+++ b/tests/soak/load_process.py
@@ -103,11 +103,11 @@
         output, _ = self.process.communicate(timeout=self._timeout_s)
         return LoadReport.from_json(output)
 
-    def wait_for_statuses(self) -> Counter[str]:
-        """Waits for the end of the load; returns the number of responses by status."""
+    def wait_for_end(self) -> LoadReport:
+        """Waits until the load's time is over; returns what its clients have seen."""
         assert self.process.stdout is not None
         output = self.process.stdout.read()  # not `communicate`, which closes the input and so ends the load
-        return LoadReport.from_json(output).statuses
+        return LoadReport.from_json(output)
 
 
 class LoadConnection:
--- a/tests/soak/test_memory_limit.py
+++ b/tests/soak/test_memory_limit.py
@@ -39,7 +39,7 @@
         MisbehavingClientsProcess(proxy.address, clients=100, seed=memory_mb),
     ):
         load = LoadProcess(proxy.address, LoadOptions(memory_mb, LOAD_S, connections=12, names=5_000))
-        statuses = load.wait_for_statuses()
+        statuses = load.wait_for_end().statuses
         assert proxy.exit_code is None
         assert statuses["200"] > statuses.total() / 2
         assert proxy.status_kb("VmHWM") < memory_mb * KILOBYTE
