A client that writes its first request slowly is not evicted unanswered

Callers saw: at the connection cap, a close without a response while a part of the first request was received.

Cause: the evictor took connections without a complete request first, and a part of one only put it last among these.

Fix: such a connection is evicted only in a flood, and gets 503 before its close.

Both new tests failed before with 'closed by the proxy'.

--- a/olivepost/proxy/downstream/connection_lifecycle.py
+++ b/olivepost/proxy/downstream/connection_lifecycle.py
@@ -98,12 +98,18 @@
     # Closes by other threads: the accept thread, the deadline thread and the graceful shutdown.
 
     def evict(self) -> bool:
-        """Closes the connection at once, unless a request is in flight or unread; returns whether it did."""
+        """Closes the connection at once, unless a request is in flight or unread; returns whether it did.
+
+        A part of a request gets status 503.
+        """
         with self._try_lock() as is_locked:
             if not is_locked:
                 return False  # its reader or a writer uses it
             if self.exchange is not None or not self.has_nothing_unread:
                 return False
+            self.record_close_reason(CloseReason.EVICTED)
+            if not (self.is_closing or self.parser.is_idle):
+                self._try_send(response_head(503, 0, {}, closes=True))
             self._shut_down(CloseReason.EVICTED)
             return True
 
--- a/olivepost/proxy/downstream/eviction.py
+++ b/olivepost/proxy/downstream/eviction.py
@@ -43,12 +43,20 @@
                 self._context.log.increment("connections_evicted")
 
     def _candidates(self) -> list[ConnectionLifecycle]:
-        """Connections to evict, in order: those without any request yet, else the longest idle."""
+        """Connections to evict, in order: those without any request yet, else the longest idle.
+
+        One that has sent a part of its first request is left to finish it, but in a flood.
+        """
         latest = self._context.clock.now() - MIN_IDLE_BEFORE_EVICTION
         connections = self._connections.snapshot()
         unused = self._unused(connections)
-        candidates = [connection for connection in unused if connection.idle_since < latest]
-        if not candidates and not self._is_flood(unused):
+        is_flood = self._is_flood(unused)
+        candidates = [
+            connection
+            for connection in unused
+            if connection.idle_since < latest and (is_flood or not connection.has_pending_response)
+        ]
+        if not candidates and not is_flood:
             candidates = [
                 connection
                 for connection in connections
--- a/tests/proxy/test_client_limits.py
+++ b/tests/proxy/test_client_limits.py
@@ -17,6 +17,7 @@
     cache_a_is_draining,
     draining_entries,
     idle_connection,
+    only_connection,
 )
 from tests.proxy_harness import (
     WAIT_TIMEOUT_S,
@@ -176,6 +177,42 @@
                 client.sock.close()
 
 
+def test_client_that_writes_its_first_request_slowly_is_not_evicted() -> None:
+    """Guards against a request that is read in part and closed without a response."""
+    with running_proxy(limits=FEW_CONNECTIONS) as proxy, proxy.connect() as slow:
+        request = HttpClient.encode_request(timeout_ms=15_000)
+        slow.send(request[:30])
+        assert proxy.wait_until(lambda: not only_connection(proxy).parser.is_idle)
+        others = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections - 1)]
+        for client in others:
+            assert client.request(timeout_ms=15_000).status == 200
+        with proxy.connect() as late:
+            assert late.request(timeout_ms=15_000).status == 200
+        slow.send(request[30:])
+        assert slow.read_response().status == 200
+        for client in others:
+            client.sock.close()
+
+
+def test_partial_requests_of_a_flood_are_evicted_with_a_rejection() -> None:
+    with running_proxy(limits=FEW_CONNECTIONS, bounds={"first_request_timeout": 60 * 10**9}) as proxy:
+        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
+        for client in clients:
+            client.send(HttpClient.encode_request()[:30])
+        assert proxy.wait_until(
+            lambda: all(
+                connection.has_pending_response
+                for connection in proxy.parts.downstream.connections.snapshot()
+            )
+        )
+        with proxy.connect() as late:
+            assert late.request(timeout_ms=15_000).status == 200
+        status, headers, _ = clients[0].read_response()
+        assert (status, headers["connection"]) == (503, "close")
+        for client in clients:
+            client.sock.close()
+
+
 def test_client_beyond_the_limit_of_memory_pressure_takes_its_turn() -> None:
     with running_proxy() as proxy, proxy.connect() as busy:
         assert busy.request().status == 200
