Shutdown waits for no connection's lock: a slow reader no longer delays the exit

Cause: close_if_idle, on the main thread, waited for the lock of each connection, and a slow writer holds it until its client has read all.

Fix: the lock is taken only where it is free.

--- a/olivepost/proxy/downstream/connection_lifecycle.py
+++ b/olivepost/proxy/downstream/connection_lifecycle.py
@@ -122,12 +122,18 @@
                 self.deadline = None
                 self.abort(CloseReason.WRITE_TIMEOUT)
 
-    def close_if_idle(self) -> None:
-        """Half-closes an idle connection; one with unread bytes ends after the response to them."""
-        with self.lock:
-            is_idle = self.exchange is None and self.parser.is_idle
-            if is_idle and not self.is_closing and not self.is_closed and self.has_nothing_unread:
-                self.half_close(CloseReason.DRAINING)
+    def close_if_idle(self) -> bool:
+        """Half-closes an idle connection, without waiting for a thread that uses it.
+
+        One with unread bytes ends after the response to them. Returns whether the connection is ending;
+        the caller asks again where it is not.
+        """
+        with self._try_lock() as is_locked:
+            if is_locked and not self.is_closing and not self.is_closed:
+                is_idle = self.exchange is None and self.parser.is_idle
+                if is_idle and self.has_nothing_unread:
+                    self.half_close(CloseReason.DRAINING)
+            return self.is_closing or self.is_closed
 
     def abort(self, reason: CloseReason) -> None:
         """Shuts down the socket at once; the client can tell that its response is incomplete."""
--- a/olivepost/proxy/downstream/downstream_server.py
+++ b/olivepost/proxy/downstream/downstream_server.py
@@ -6,6 +6,7 @@
 
 from olivepost.config import Address
 from olivepost.proxy.downstream.connection_admission import ConnectionAdmission
+from olivepost.proxy.downstream.connection_lifecycle import ConnectionLifecycle
 from olivepost.proxy.downstream.connection_set import ConnectionSet
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.deadline_watch import DeadlineWatch
@@ -71,10 +72,9 @@
         """Begins the graceful shutdown: every response from now on ends its connection."""
         self.context.is_draining = True
 
-    def close_idle(self) -> None:
-        """Half-closes connections without a request in flight; waits for writers that hold their locks."""
-        for connection in self.connections.snapshot():
-            connection.close_if_idle()
+    def close_idle(self) -> list[ConnectionLifecycle]:
+        """Half-closes connections without a request in flight; returns those that are not ending yet."""
+        return [connection for connection in self.connections.snapshot() if not connection.close_if_idle()]
 
     def stop_accepting(self, timeout_s: float = ACCEPT_STOP_TIMEOUT_S) -> None:
         """Closes the listener once all that the kernel has accepted is taken; waits up to the timeout."""
--- a/olivepost/proxy/shutdown.py
+++ b/olivepost/proxy/shutdown.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from olivepost.proxy.downstream.connection_lifecycle import ConnectionLifecycle
 from olivepost.proxy.downstream.listener import ACCEPT_STOP_TIMEOUT_S
 from olivepost.proxy.messages import ShutdownDeadline, StopEventLoop
 from olivepost.proxy.parts import ProxyParts
@@ -73,8 +74,8 @@
         """Returns with nothing open and the log written."""
         self._log_connections("draining")
         self._drain()
-        self._stop_accepting()
-        self._wait_for_clients()
+        open_connections = self._stop_accepting()
+        self._wait_for_clients(open_connections)
         self._stop_parts()
 
     def _log_connections(self, event: str) -> None:
@@ -91,13 +92,18 @@
         while self._clock.now() < self._schedule.accept_until:
             self._wait_until(self._schedule.accept_until)
 
-    def _stop_accepting(self) -> None:
-        self._downstream.close_idle()
+    def _stop_accepting(self) -> list[ConnectionLifecycle]:
+        """Closes idle connections and the listener; returns the connections that were in use."""
+        open_connections = self._downstream.close_idle()
         remaining_s = max(0, self._schedule.exit_by - self._clock.now()) / SECOND
         self._downstream.stop_accepting(min(ACCEPT_STOP_TIMEOUT_S, remaining_s))
+        return open_connections
 
-    def _wait_for_clients(self) -> None:
-        """Waits for pending responses, and then up to `CLIENT_CLOSE_S` for the clients to close."""
+    def _wait_for_clients(self, open_connections: list[ConnectionLifecycle]) -> None:
+        """Waits for pending responses, and then up to `CLIENT_CLOSE_S` for the clients to close.
+
+        `open_connections` are closed as they become idle: their last response may not have announced it.
+        """
         remaining_s = CLIENT_CLOSE_S
         while self._clock.now() < self._schedule.exit_by and self._downstream.open_count and remaining_s > 0:
             if self._downstream.has_pending_responses:
@@ -105,6 +111,9 @@
             else:
                 remaining_s -= CHECK_INTERVAL / SECOND
             self._wait_until(self._clock.now() + CHECK_INTERVAL)
+            open_connections = [
+                connection for connection in open_connections if not connection.close_if_idle()
+            ]
 
     def _stop_parts(self) -> None:
         parts = self._parts
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -246,6 +246,31 @@
         ending.join(WAIT_TIMEOUT_S)
 
 
+@pytest.mark.usefixtures("small_send_buffer")
+def test_connection_that_is_written_to_during_shutdown_closes_once_it_is_idle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its response was begun before the shutdown, and did not announce the connection's end."""
+    monkeypatch.setattr(shutdown, "ACCEPT_FOR", 100 * MS)
+    with running_proxy(reply_with_large_body) as proxy:
+        sock = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
+        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+        connection = only_connection(proxy)
+        ending, began = start_shutdown(proxy)
+        assert proxy.wait_until(lambda: proxy.parts.clock.now() > began + 200 * MS)
+        assert not connection.is_closing
+        received_bytes = 0
+        while received_bytes < 240_000:
+            received_bytes += len(sock.recv(65_536))
+        assert proxy.wait_until(lambda: connection.exchange is None)
+        idle_at = proxy.parts.clock.now()
+        while sock.recv(65_536):
+            pass
+        assert proxy.parts.clock.now() < idle_at + 500 * MS
+        sock.close()
+        ending.join(WAIT_TIMEOUT_S)
+
+
 def test_partly_read_request_is_served_at_shutdown(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.05)
     monkeypatch.setattr(shutdown, "ACCEPT_FOR", 100 * MS)
