A look at a socket never pauses, and closes nothing where the system does not tell

Callers saw: with a lasting shortage (ENOBUFS) and 100 idle connections, requests sent at SIGTERM closed without a response 3 s later, and a process that passed the kill.

Cause: has_nothing_unread and is_closed_by_peer repeated their call for 0.1 s a connection with its lock held, on the main, deadline and accept threads and the upstream writers; afterwards an unknown socket counted as having nothing unread.

Fix: sockets.peek tries three times without a pause and says UNKNOWN; on that nothing is closed, and the caller asks again.

test_peeks_that_fail_for_good_delay_no_other_connection failed before (after 3.3 s; now 0.14 s). The soak opens its idle clients again just before SIGTERM, since those of the start are gone by then, and reads the main thread's stack alone: a dump of all ends after 100 threads.

--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -12,6 +12,7 @@
 import struct
 import time
 from collections.abc import Callable, Iterable
+from enum import Enum
 from typing import TypeVar
 
 from olivepost.config import Address
@@ -23,6 +24,7 @@
 SHORTAGES = (errno.ENOBUFS, errno.ENOMEM)
 SHORTAGE_ATTEMPTS = 20  # of a call that such an error ends
 SHORTAGE_PAUSE_S = 0.005  # between two of these attempts
+PEEK_ATTEMPTS = 3  # of a look at a socket, which pauses for nothing
 # Errors of connecting that this machine causes, and that indicate nothing about the remote side.
 LOCAL_FAILURES = (*SHORTAGES, errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.EAGAIN)
 
@@ -72,22 +74,38 @@
     return struct.pack("ll", seconds, remainder)
 
 
+class PeekResult(Enum):
+    """What a look at a socket's received bytes shows."""
+
+    UNREAD_BYTES = "received bytes wait to be read"
+    NO_BYTES = "none, and the connection is open"
+    ENDED = "none, and the remote side has closed or reset the connection"
+    UNKNOWN = "the system was short of memory"
+
+
+def peek(sock: socket.socket) -> PeekResult:
+    """Looks at what the socket has received, without any pause: callers hold locks that others need."""
+    for _ in range(PEEK_ATTEMPTS):
+        try:
+            has_bytes = bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            return PeekResult.NO_BYTES
+        except OSError as error:
+            if error.errno not in SHORTAGES:
+                return PeekResult.ENDED
+        else:
+            return PeekResult.UNREAD_BYTES if has_bytes else PeekResult.ENDED
+    return PeekResult.UNKNOWN
+
+
 def has_nothing_unread(sock: socket.socket) -> bool:
-    """Whether no received bytes wait to be read."""
-    try:
-        return not _retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:  # no bytes, or the connection has ended
-        return True
+    """Whether it is known that no received bytes wait to be read."""
+    return peek(sock) in (PeekResult.NO_BYTES, PeekResult.ENDED)
 
 
 def is_closed_by_peer(sock: socket.socket) -> bool:
-    """Whether the remote side has closed or reset the connection, with nothing left to read before that."""
-    try:
-        return not _retry_while_short(lambda: sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except BlockingIOError:
-        return False
-    except OSError as error:
-        return error.errno not in SHORTAGES
+    """Whether the remote side is known to have ended the connection, with nothing left to read."""
+    return peek(sock) is PeekResult.ENDED
 
 
 def wait_readable(sock: socket.socket) -> bool:
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -23,6 +23,7 @@
 
 STAND_IN_THREADS = ("MainThread", "Thread-")  # of the client and of the toy endpoints
 SHORTAGES = [errno.ENOBUFS, errno.ENOMEM]
+RECEIVE = socket.socket.recv
 
 
 def failing(call: Callable[..., Any], error: Exception, times: int, thread: str = "") -> Callable[..., Any]:
@@ -100,6 +101,39 @@
             assert (status, bool(body)) == (200, True)
 
 
+def failing_peeks(sock: socket.socket, size: int, flags: int = 0) -> bytes:
+    """`socket.recv` where looking at a socket without waiting fails for good."""
+    peek = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    if flags & peek == peek:
+        raise os_error(errno.ENOBUFS)
+    return RECEIVE(sock, size, flags)
+
+
+def test_peeks_that_fail_for_good_delay_no_other_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a pause for each connection on the threads of shutdown, deadlines and accept."""
+    with running_proxy() as proxy:
+        clients = [proxy.connect() for _ in range(30)]
+        for client in clients:
+            assert client.request().status == 200
+        connections = proxy.parts.downstream.connections.snapshot()
+        monkeypatch.setattr(socket.socket, "recv", failing_peeks)
+        began_at = time.monotonic()
+        still_open = proxy.parts.downstream.close_idle()
+        assert not any(connection.evict() for connection in connections)
+        for connection in connections:
+            connection.deadline = 1
+            connection.expire()
+        assert time.monotonic() < began_at + 0.5
+        # What is not known to have nothing unread stays open, so that no request is lost.
+        assert len(still_open) == len(clients)
+        assert proxy.parts.downstream.open_count == len(clients)
+        monkeypatch.undo()
+        assert proxy.parts.downstream.close_idle() == []
+        for client in clients:
+            assert client.is_closed_by_proxy()
+            client.sock.close()
+
+
 def test_connection_whose_options_cannot_be_set_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     with running_proxy() as proxy:
         monkeypatch.setattr(sockets, "configure", failing(sockets.configure, os_error(errno.EINVAL), 1))
--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -22,8 +22,7 @@
 DUMP_TIMEOUT_S = 0.5  # for the process to write where its threads are
 DUMP_INTERVAL_S = 0.02
 MAX_STACK_LINES = 8  # the innermost ones
-MAIN_THREAD_MARK = "Current thread"
-DUMP_THREAD_MARK = "hread 0x"
+STACK_MARK = "Stack (most recent call first)"
 PROXY_VARIABLES = {"MALLOC_ARENA_MAX": "2", "PYTHONPATH": str(ROOT)}
 
 
@@ -117,10 +116,8 @@
         for _ in range(int(DUMP_TIMEOUT_S / DUMP_INTERVAL_S)):
             time.sleep(DUMP_INTERVAL_S)
             lines = self._error_lines[known:]
-            starts = [number for number, line in enumerate(lines) if DUMP_THREAD_MARK in line]
-            mains = [start for start in starts if MAIN_THREAD_MARK in lines[start]]
-            if mains:
-                return " < ".join(line.strip() for line in lines[mains[0] + 1 :][:MAX_STACK_LINES])
+            if any(line.startswith(STACK_MARK) for line in lines):
+                return " < ".join(line.strip() for line in lines[1:][:MAX_STACK_LINES])
         return ""
 
     def status_kb(self, name: str) -> int:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,6 +36,7 @@
 KILL_AFTER_S = 3.0 + 0.7  # after SIGTERM, at the earliest: the longest deadline, and the platform's margin
 KILL_MARGIN_S = 0.04  # before that, for the test to see the end
 SIGNAL_INTERVAL_S = 0.01
+LATE_IDLE_CLIENTS = 100  # just before SIGTERM
 TRACE_BEFORE_KILL_S = 0.5  # a process that still runs then says where its main thread is
 LOG_STALL_BEFORE_SIGTERM_S = 1.0
 CROWD_THINK_TIME_S = 0.05
@@ -82,6 +83,8 @@
         crowd = self._start_crowd()
         try:
             self._inject_faults()
+            if self.options.has_idle_clients and self.pressure.has_signal_series:
+                clients.open_idle_connections(LATE_IDLE_CLIENTS)  # the first ones have reached their deadline
             self._terminate(crowd)
         finally:
             clients.stop()
