A shutdown has one end, and every step gets what is left until then

Cause: steps waited one after another, each with a time of its own: pending responses until 3.6 s, StoreHost.close 1 s and 0.2 s for each of two workers a store, EventLog.close 1 s; DiscoveryClient.stop waited for a lock that is held while a response is applied; the clients' time to close was counted in waits that every signal ended early.

Fix: ShutdownSchedule.end_by, 70 ms before the kill; the stores get half of what is left, with one deadline for all their threads, the log the rest; discovery is stopped without its lock; the clients' time is taken from the clock.

--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -20,7 +20,8 @@
     """Follows a coordinator; while it can't be reached or understood, the last endpoint list stays in force.
 
     Any thread may call it. `_lock` guards `_address`, `_long_poll` and `_watch_state`. Events are posted
-    with the lock held, so that they reach the event loop in their order.
+    with the lock held, so that they reach the event loop in their order. `stop` goes without it, since the
+    end of the process waits for no response that is being applied: it sets `_is_stopped`, once.
     """
 
     def __init__(
@@ -38,7 +39,8 @@
         self._random = random.Random(seed)
         self._lock = threading.Lock()
         self._address = coordinator
-        self._long_poll: LongPoll | None = None  # None before `start` and after `stop`
+        self._long_poll: LongPoll | None = None  # None before `start`
+        self._is_stopped = False
         self._watch_state = WatchState(clock, log)
 
     def start(self, known_events: object) -> None:
@@ -49,12 +51,10 @@
             self._long_poll = LongPoll(self, self._address, self._random.random())
 
     def stop(self) -> None:
-        """Aborts the open poll; no event is posted afterwards."""
-        with self._lock:
-            long_poll = self._long_poll
-            self._long_poll = None
-        if long_poll is not None:
-            long_poll.stop()
+        """Aborts the open poll; no response is applied afterwards but one that is being applied now."""
+        self._is_stopped = True
+        if self._long_poll is not None:
+            self._long_poll.stop()
 
     def switch_coordinator(self, coordinator: Address) -> bool:
         """Polls another coordinator at once, from the last index; False where it is the same.
@@ -63,7 +63,7 @@
         """
         with self._lock:
             old_poll = self._long_poll
-            if coordinator == self._address or old_poll is None:
+            if coordinator == self._address or old_poll is None or self._is_stopped:
                 return False
             # First: without a thread for the new poll the old one stays in force, and so does its address.
             self._long_poll = LongPoll(self, coordinator, self._random.random())
@@ -74,7 +74,7 @@
     def next_index(self, long_poll: LongPoll) -> int | None:
         """The index after which to poll; None where another long poll has taken over."""
         with self._lock:
-            if long_poll is not self._long_poll:
+            if not self._is_current(long_poll):
                 return None
             return self._watch_state.next_index
 
@@ -85,7 +85,7 @@
         the response does not show that the watch is up to date.
         """
         with self._lock:
-            if long_poll is not self._long_poll:
+            if not self._is_current(long_poll):
                 return None
             self._post_events(self._watch_state.apply_polled(data))
             if not self._watch_state.is_up_to_date:
@@ -94,6 +94,9 @@
             self._post(heartbeat)
             return heartbeat
 
+    def _is_current(self, long_poll: LongPoll) -> bool:
+        return long_poll is self._long_poll and not self._is_stopped
+
     def _post_events(self, events: list[DiscoveryEvent]) -> None:
         for event in events:
             self._post(event)
--- a/olivepost/proxy/shutdown.py
+++ b/olivepost/proxy/shutdown.py
@@ -24,8 +24,13 @@
 RESPONSE_MARGIN: Duration = 250 * MILLISECOND
 # Between the moment at which the process begins to exit and the kill.
 EXIT_MARGIN: Duration = 100 * MILLISECOND
+# Between the moment at which the process ends, whatever its parts still wait for, and the kill.
+END_MARGIN: Duration = 70 * MILLISECOND
 # That clients have to close their connections after their last response.
 CLIENT_CLOSE_S = 1.0
+# For the threads of the shared store, and for the log's last lines; less where the end is near.
+STORE_CLOSE_TIMEOUT_S = 1.0
+LOG_CLOSE_TIMEOUT_S = 1.0
 # Between two checks whether all clients have closed.
 CHECK_INTERVAL: Duration = 10 * MILLISECOND
 
@@ -37,6 +42,7 @@
     accept_until: Instant
     respond_by: Instant
     exit_by: Instant
+    end_by: Instant
 
     @classmethod
     def from_start(cls, started_at: Instant, longest_deadline: Duration) -> ShutdownSchedule:
@@ -46,6 +52,7 @@
             accept_until=started_at + ACCEPT_FOR,
             respond_by=killed_at - RESPONSE_MARGIN,
             exit_by=killed_at - EXIT_MARGIN,
+            end_by=killed_at - END_MARGIN,
         )
 
 
@@ -95,8 +102,7 @@
     def _stop_accepting(self) -> list[ConnectionLifecycle]:
         """Closes idle connections and the listener; returns the connections that were in use."""
         open_connections = self._downstream.close_idle()
-        remaining_s = max(0, self._schedule.exit_by - self._clock.now()) / SECOND
-        self._downstream.stop_accepting(min(ACCEPT_STOP_TIMEOUT_S, remaining_s))
+        self._downstream.stop_accepting(min(ACCEPT_STOP_TIMEOUT_S, self._remaining_s(self._schedule.exit_by)))
         return open_connections
 
     def _wait_for_clients(self, open_connections: list[ConnectionLifecycle]) -> None:
@@ -104,24 +110,27 @@
 
         `open_connections` are closed as they become idle: their last response may not have announced it.
         """
-        remaining_s = CLIENT_CLOSE_S
-        while self._clock.now() < self._schedule.exit_by and self._downstream.open_count and remaining_s > 0:
+        closed_by = self._clock.now() + int(CLIENT_CLOSE_S * SECOND)
+        while self._downstream.open_count and self._clock.now() < min(closed_by, self._schedule.exit_by):
             if self._downstream.has_pending_responses:
-                remaining_s = CLIENT_CLOSE_S
-            else:
-                remaining_s -= CHECK_INTERVAL / SECOND
+                closed_by = self._clock.now() + int(CLIENT_CLOSE_S * SECOND)
             self._wait_until(self._clock.now() + CHECK_INTERVAL)
             open_connections = [
                 connection for connection in open_connections if not connection.close_if_idle()
             ]
 
     def _stop_parts(self) -> None:
+        """Stops the other parts; each gets what is left of the time until the end, the log the last half."""
         parts = self._parts
+        end_by = self._schedule.end_by
         parts.discovery.stop()
-        if parts.shared_store is not None:
-            parts.shared_store.close()
         parts.downstream.stop_watching()
+        if parts.shared_store is not None:
+            parts.shared_store.close(min(STORE_CLOSE_TIMEOUT_S, self._remaining_s(end_by) / 2))
         self._log_metrics()
         self._log_connections("stopped")
         parts.event_loop.post(StopEventLoop())
-        parts.log.close()
+        parts.log.close(min(LOG_CLOSE_TIMEOUT_S, self._remaining_s(end_by)))
+
+    def _remaining_s(self, until: Instant) -> float:
+        return max(0, until - self._clock.now()) / SECOND
--- a/olivepost/shared_store/host.py
+++ b/olivepost/shared_store/host.py
@@ -9,6 +9,7 @@
 import queue
 import random
 import threading
+import time
 from collections.abc import Callable
 
 from olivepost import interface as api
@@ -25,8 +26,7 @@
 MAX_QUEUED_EVENTS = 20_000  # beyond them, lookups and reports are dropped
 INCARNATION_BITS = 64  # enough that no two processes of a branch have the same
 SEED_BITS = 64
-COORDINATOR_JOIN_TIMEOUT_S = 1.0  # the thread never waits longer than a tick
-WORKER_JOIN_TIMEOUT_S = 0.2  # a worker that waits for an unresponsive store ends at its own timeout
+CLOSE_TIMEOUT_S = 1.0  # for all threads together; one that waits for an unresponsive store is left behind
 
 # Without its reply a command would stay pending for good, without its release a lease.
 UNDROPPABLE_EVENTS = (messages.StoreReply, messages.ReplyLost, messages.LeaseReleased)
@@ -70,14 +70,15 @@
                 worker.start()
         self._thread.start()
 
-    def close(self) -> None:
-        """Ends all threads; commands in flight are left to their timeouts."""
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
+        """Ends all threads, and waits for them up to the timeout; commands in flight are left to theirs."""
+        until = time.monotonic() + timeout_s
         self._events.put(None)
         for worker in self._workers.values():
             worker.close()
-        self._thread.join(COORDINATOR_JOIN_TIMEOUT_S)
+        self._thread.join(timeout_s)
         for worker in self._workers.values():
-            worker.join(WORKER_JOIN_TIMEOUT_S)
+            worker.join(max(0.0, until - time.monotonic()))
 
     def look_up(self, lookup: api.LookUpHint, object_name: str, group: int | None) -> None:
         """Requests a hint; the router receives it as a `CacheHint`."""
--- a/tests/proxy/test_shutdown_schedule.py
+++ b/tests/proxy/test_shutdown_schedule.py
@@ -15,3 +15,4 @@
     assert schedule.accept_until == 1_000 + 700 * MILLISECOND
     assert schedule.respond_by == killed_at - 250 * MILLISECOND
     assert schedule.exit_by == killed_at - 100 * MILLISECOND
+    assert schedule.exit_by < schedule.end_by < killed_at
--- /dev/null
+++ b/tests/shared_store/test_host.py
@@ -0,0 +1,40 @@
+"""The threads of the shared store's host."""
+
+from __future__ import annotations
+
+import os
+import socket
+import threading
+import time
+from contextlib import ExitStack
+
+from olivepost.proxy.clock import Clock
+from olivepost.proxy.event_log import EventLog
+from olivepost.shared_store.host import CLOSE_TIMEOUT_S, StoreHost
+from olivepost.shared_store.settings import MAX_STORES, SharedStoreSettings
+
+WAIT_TIMEOUT_S = 5.0
+SCHEDULING_SLACK_S = 0.5
+
+
+def test_stores_that_never_respond_delay_the_close_once_and_not_each() -> None:
+    with ExitStack() as stack:
+        listeners = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(MAX_STORES)]
+        stores = [
+            {"name": f"s{number}", "address": "{}:{}".format(*listener.getsockname())}
+            for number, listener in enumerate(listeners)
+        ]
+        settings = SharedStoreSettings.model_validate({"branch": "b", "stores": stores, "give_up": "5s"})
+        devnull = os.open(os.devnull, os.O_WRONLY)
+        stack.callback(os.close, devnull)
+        log = EventLog(Clock(), "n1", descriptor=devnull)
+        stack.callback(log.close, WAIT_TIMEOUT_S)
+        host = StoreHost(settings, "n1", Clock(), log, lambda _: None)
+        host.start()
+        for listener in listeners:  # every store has a connection, on which nothing comes back
+            listener.settimeout(WAIT_TIMEOUT_S)
+            stack.enter_context(listener.accept()[0])
+        threading.Event().wait(0.1)  # for the workers to send their first commands
+        began_at = time.monotonic()
+        host.close()
+        assert time.monotonic() < began_at + CLOSE_TIMEOUT_S + SCHEDULING_SLACK_S
