A client's close is noticed while the system refuses to show received bytes

Cause: is_closed_by_peer says False where the peek fails, and the reader had not come to the close yet.

Fix: on UNKNOWN, poll for POLLRDHUP, which needs no memory.

The soak takes the time of exit when the process has ended, not when its log has been read.

--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import errno
+import select
 import socket
 import struct
 import time
@@ -104,8 +105,18 @@
 
 
 def is_closed_by_peer(sock: socket.socket) -> bool:
-    """Whether the remote side is known to have ended the connection, with nothing left to read."""
-    return peek(sock) is PeekResult.ENDED
+    """Whether the remote side has ended the connection, with nothing left to read as far as is known."""
+    result = peek(sock)
+    if result is PeekResult.UNKNOWN:
+        return _is_hung_up(sock)
+    return result is PeekResult.ENDED
+
+
+def _is_hung_up(sock: socket.socket) -> bool:
+    """Whether the remote side has ended the connection, by a call that takes no memory for it."""
+    poller = select.poll()
+    poller.register(sock, select.POLLRDHUP)
+    return bool(poller.poll(0))
 
 
 def wait_readable(sock: socket.socket) -> bool:
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import socket
 import struct
 
 import pytest
 
-from olivepost.proxy.sockets import _timeval, accept_queue_length
+from olivepost.proxy.sockets import _timeval, accept_queue_length, has_nothing_unread, is_closed_by_peer
 
 
 @pytest.mark.parametrize(
@@ -28,3 +30,22 @@
         for client in clients:
             client.close()
     assert accept_queue_length(listener) == 0  # closed: the system doesn't tell
+
+
+def test_close_is_noticed_where_the_system_refuses_to_show_received_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an attempt for a client that has disconnected."""
+
+    def refuse(*_: object) -> bytes:
+        raise OSError(errno.ENOBUFS, os.strerror(errno.ENOBUFS))
+
+    monkeypatch.setattr(socket.socket, "recv", refuse)
+    near, far = socket.socketpair()
+    with near, far:
+        assert not is_closed_by_peer(near)
+        far.sendall(b"x")
+        assert not is_closed_by_peer(near)
+        assert not has_nothing_unread(near)
+        far.close()
+        assert is_closed_by_peer(near)
--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -44,6 +44,7 @@
         self._is_log_read.set()
         self.events: list[dict[str, Any]] = []
         self.address = Address("", 0)
+        self.ended_at = 0.0  # monotonic seconds, once `wait` has seen the end
         self._is_ready = threading.Event()
         self._error_lines: list[str] = []
         path = folder / f"{config['name']}.json"
@@ -95,6 +96,7 @@
             code = self.process.wait(timeout_s)
         except subprocess.TimeoutExpired:
             return None
+        self.ended_at = time.monotonic()
         self._is_log_read.set()
         for reader in self._readers:
             reader.join(EXIT_TIMEOUT_S)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -180,7 +180,7 @@
                 f"the proxy still ran {KILL_AFTER_S} s after SIGTERM; it was at {stack}"
             )
             return
-        self.exit_s = time.monotonic() - began_at
+        self.exit_s = self._proxy.ended_at - began_at
         if code != 0:
             self._oracle.record_fault(f"the proxy ended with code {code}: {self._proxy.errors}")
 
