A reload waits for no thread: neither signals nor discovery's events stand still

Callers saw: SIGHUP while the system has no thread stopped the main thread for up to 10 s, so SIGTERM had no effect before the kill, and the old poll applied no event, so requests could go to endpoints that drained meanwhile.

Cause: switch_coordinator started the new poll's thread with START_TIMEOUT_S, on the main thread and with discovery's lock held. Found by listing the waits of every step of a shutdown.

Fix: one try without a wait; without a thread the old poll goes on and the reload is repeated at the next check of the memory, 0.1 s later.

test_reload_waits_for_no_thread_and_is_repeated failed before: the reload raised after 10 s, and nothing repeated it.

--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -12,6 +12,7 @@
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
 from olivepost.proxy.discovery.watch_state import WatchState
 from olivepost.proxy.event_log import EventLog
+from olivepost.proxy.threads import START_TIMEOUT_S
 
 DEFAULT_MAX_RESPONSE_BYTES = 16_777_216
 
@@ -49,6 +50,7 @@
             if known_events is not None:
                 self._post_events(self._watch_state.apply_stored(known_events))
             self._long_poll = LongPoll(self, self._address, self._random.random())
+            self._long_poll.start(START_TIMEOUT_S)
 
     def stop(self) -> None:
         """Aborts the open poll; no response is applied afterwards but one that is being applied now."""
@@ -60,13 +62,16 @@
         """Polls another coordinator at once, from the last index; False where it is the same.
 
         A response that still arrives at the old poll is dropped: its events come from the new one, once.
+        Raises RuntimeError where the system has no thread now: the old poll stays in force.
         """
         with self._lock:
             old_poll = self._long_poll
             if coordinator == self._address or old_poll is None or self._is_stopped:
                 return False
-            # First: without a thread for the new poll the old one stays in force, and so does its address.
-            self._long_poll = LongPoll(self, coordinator, self._random.random())
+            # Without a wait: the old poll can't apply its events, and no signal is handled, meanwhile.
+            long_poll = LongPoll(self, coordinator, self._random.random())
+            long_poll.start(timeout_s=0.0)
+            self._long_poll = long_poll
             self._address = coordinator
         old_poll.stop()
         return True
--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -15,7 +15,7 @@
 from olivepost.proxy.discovery.poll_connection import PollConnection
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.http1 import HttpError
-from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
+from olivepost.proxy.threads import start_thread
 from olivepost.units import MILLISECOND, SECOND, Duration, Instant
 
 # How long the coordinator may hold a poll open. Short, so that a dead one is noticed well before its events
@@ -46,7 +46,7 @@
 
 
 class LongPoll:
-    """A thread that polls one coordinator until `stop`.
+    """A thread that polls one coordinator from `start` until `stop`.
 
     `stop` may be called from any thread. `_lock` guards `_connection`; the polling thread alone sets it, and
     uses its own connection without the lock.
@@ -63,7 +63,10 @@
         self._polled_at: Instant | None = None  # when the last poll was sent
         self._lock = threading.Lock()
         self._connection: PollConnection | None = None
-        start_thread(self._run, "discovery", START_TIMEOUT_S)
+
+    def start(self, timeout_s: float) -> None:
+        """Starts the thread; raises RuntimeError where the system has none in time."""
+        start_thread(self._run, "discovery", timeout_s)
 
     def stop(self) -> None:
         """Aborts the open poll; a connection that is being made is closed once it is there."""
--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -55,6 +55,7 @@
         self._operator = operator
         self._source = source or ConfigurationSource(lambda: config, lambda: operator)
         self._wait_for_signal = wait_for_signal
+        self._is_reload_due = False  # again: the last one had no thread for discovery
 
     def start(self) -> Address:
         """Applies the known endpoint list, then listens, so that no response precedes the list.
@@ -89,8 +90,12 @@
         GracefulShutdown(self.parts, self._wait_until, self._log_metrics).run()
 
     def reload(self) -> None:
-        """Reads the configuration again; an invalid one changes nothing."""
+        """Reads the configuration again; an invalid one changes nothing.
+
+        Where the system has no thread for discovery, it is repeated at the next check of the memory.
+        """
         log = self.parts.log
+        self._is_reload_due = False
         try:
             config = self._source.read_config()
             operator = self._source.read_operator_settings()
@@ -98,7 +103,12 @@
             log.increment("reloads_failed")
             log.event("reload_failed", why=str(error))
             return
-        has_moved = self.parts.discovery.switch_coordinator(config.coordinator)
+        try:
+            has_moved = self.parts.discovery.switch_coordinator(config.coordinator)
+        except RuntimeError:
+            log.increment("threads_short")
+            self._is_reload_due = True
+            return
         host, port = config.coordinator
         log.event("reloaded", coordinator=f"{host}:{port}", moved=has_moved)
         keys = keys_needing_restart(self.parts.config, config)
@@ -115,7 +125,7 @@
             now = clock.now()
             check_at = min(until, now + monitor.interval)
             request = self._wait_for_signal(max(0, check_at - now))
-            if request is SignalRequest.RELOAD:
+            if request is SignalRequest.RELOAD or self._is_reload_due:
                 self._run_guarded(self.reload, "reload_error")
             self._run_guarded(monitor.check, "memory_monitor_error")
             if request is not None or clock.now() >= until:
--- a/tests/proxy/discovery/test_client.py
+++ b/tests/proxy/discovery/test_client.py
@@ -26,6 +26,9 @@
     def __init__(self, owner: DiscoveryClient, address: Address, seed: float) -> None:
         self.is_stopped = False
 
+    def start(self, timeout_s: float) -> None:
+        pass
+
     def stop(self) -> None:
         self.is_stopped = True
 
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -16,9 +17,10 @@
 from olivepost.proxy import sockets
 from olivepost.proxy.discovery import long_poll
 from olivepost.proxy.downstream.listener import ACCEPT_TIMEOUT
+from olivepost.proxy.server import ConfigurationSource
 from olivepost.proxy.upstream import writer
 from olivepost.units import SECOND
-from tests.proxy.fakes import DelayedReplies, no_attempt_was_sent
+from tests.proxy.fakes import MS, DelayedReplies, no_attempt_was_sent
 from tests.proxy_harness import HttpClient, ProxyHarness, running_proxy
 
 STAND_IN_THREADS = ("MainThread", "Thread-")  # of the client and of the toy endpoints
@@ -245,6 +247,27 @@
         assert proxy.parts.discovery.switch_coordinator(address)  # and the next reload moves it
 
 
+def test_reload_waits_for_no_thread_and_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a main thread that handles no signal, and a poll whose events wait, for seconds."""
+    with running_proxy() as proxy, running_proxy() as other:
+        assert proxy.coordinator.wait_for_poll(1)
+        host, _, port = other.coordinator.address.rpartition(":")
+        address = type(proxy.parts.config.coordinator)(host, int(port))
+        moved = replace(proxy.parts.config, coordinator=address)
+        proxy.server._source = ConfigurationSource(lambda: moved, lambda: None)
+        polls = other.coordinator.polls
+        with monkeypatch.context() as patch:
+            error = RuntimeError("can't start new thread")
+            start = failing(threading.Thread.start, error, 1_000_000, "MainThread")
+            patch.setattr(threading.Thread, "start", start)
+            began_at = time.monotonic()
+            proxy.server.reload()
+            assert time.monotonic() < began_at + 1
+        assert other.coordinator.polls == polls
+        proxy.server._wait_until(proxy.parts.clock.now() + 200 * MS)  # as the main thread always does
+        assert other.coordinator.wait_for_poll(polls + 2)
+
+
 def test_event_loop_outlives_errors_outside_of_events(monkeypatch: pytest.MonkeyPatch) -> None:
     with running_proxy() as proxy, proxy.connect() as client:
         loop = proxy.parts.event_loop
