--- a/olivepost/routing/capacity.py
+++ b/olivepost/routing/capacity.py
@@ -93,9 +93,12 @@
 
 
 def quota_part(state: RoutingState, now: Instant, key: api.QuotaKey) -> QuotaPart:
-    """This proxy's part of an endpoint's quota, by configuration alone: observed rates may fall."""
+    """This proxy's part of an endpoint's quota, by configuration alone: observed rates may fall.
+
+    The origin has neither a concurrency limit nor a slow start here, so there is no quota to give up.
+    """
     endpoint = None if key.endpoint_id is None else state.endpoints.by_id.get(key.endpoint_id)
-    if endpoint is None:
+    if endpoint is None or endpoint.role is Role.ORIGIN:
         return QuotaPart(0.0, 0.0)
     if key == concurrency_key(endpoint):
         return QuotaPart(concurrency_part(state, now, endpoint), float(endpoint.in_flight))
