Quota offers that the router never answers are dropped when they expire

What was seen: after 64 quota requests whose event failed in the router (as those for the origin did), a proxy donated nothing to anybody until its restart.

Cause: QuotaDonations dropped an offer with its answer alone, and offers at most MAX_DONATIONS at a time. Found by asking what the proxy that asked sees of an event that raised.

Fix: an offer is dropped once it has expired; the router has the amount back by then. test_offers_that_the_router_never_answers_are_dropped_when_they_expire failed before.

--- a/olivepost/shared_store/quota_donations.py
+++ b/olivepost/shared_store/quota_donations.py
@@ -42,9 +42,9 @@
 
     def offer(self, now: Instant, transfer_id: int, field: str, request: QuotaRequest) -> Donation | None:
         """Returns the donation to ask the router for in answer to a request; None where there is none."""
+        self._drop_expired(now)
         if not self._may_answer(now, request):
             return None
-        self._answered_until = {nonce: until for nonce, until in self._answered_until.items() if until > now}
         self._answered_until[request.nonce] = now + self._duration
         # The recipient counts from its request, which is earlier; its clock may be slower than this one.
         expires_at = now + int(request.duration * (1 + MAX_CLOCK_DRIFT))
@@ -66,6 +66,15 @@
         grant = QuotaGrant(id=self._ids.issue(), key=request.key, nonce=request.nonce, amount=amount)
         return GrantedDonation(donation, grant)
 
+    def _drop_expired(self, now: Instant) -> None:
+        """Drops what is over, also offers that the router has not answered: it failed to handle them."""
+        self._answered_until = {nonce: until for nonce, until in self._answered_until.items() if until > now}
+        self._donations = {
+            transfer_id: donation
+            for transfer_id, donation in self._donations.items()
+            if donation.expires_at > now
+        }
+
     def close(self, nonce: str) -> None:
         """The store has replied to a grant: its request may be answered again."""
         self._answered_until.pop(nonce, None)
--- a/tests/shared_store/test_quota_transfers.py
+++ b/tests/shared_store/test_quota_transfers.py
@@ -6,7 +6,7 @@
 
 from olivepost import interface as api
 from olivepost.routing import capacity
-from olivepost.shared_store.quota_donations import QuotaDonations
+from olivepost.shared_store.quota_donations import MAX_DONATIONS, QuotaDonations
 from olivepost.shared_store.quota_requests import IdSequence, QuotaRequests
 from olivepost.shared_store.records import QuotaGrant, QuotaRequest, RecordError, decode_record
 from tests.router_harness import MS, SECOND
@@ -161,3 +161,15 @@
     branch.run(300 * MS)
 
     assert capacity.transferred(donor.router.state, donor.clock(branch.now), key, 0.0) < 0
+
+
+def test_offers_that_the_router_never_answers_are_dropped_when_they_expire() -> None:
+    """Guards against a proxy that donates nothing any more after some events that failed in its router."""
+    donations = make_donations(make_requests("you"))
+    for number in range(MAX_DONATIONS):
+        request = request_quota(make_requests(f"other{number}"))
+        assert donations.offer(0, number, "f", request) is not None
+    late_request = request_quota(make_requests("late"))
+    assert donations.offer(SECOND, MAX_DONATIONS, "f", late_request) is None  # the others are still open
+
+    assert donations.offer(2 * SECOND, MAX_DONATIONS, "f", late_request) is not None
