Threads of the shared stores are waited for at the start, like all others

Cause: StoreHost and StoreWorker started their threads once; every other part retries for 10 s. Fix: start_thread there too.

test_start_waits_for_threads of test_host.py failed before.

--- a/olivepost/shared_store/host.py
+++ b/olivepost/shared_store/host.py
@@ -15,6 +15,7 @@
 from olivepost import interface as api
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.event_log import EventLog
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.shared_store import messages
 from olivepost.shared_store.coordinator import StoreCoordinator
 from olivepost.shared_store.fault_log import FaultLog
@@ -59,16 +60,19 @@
         )
         self._events: queue.SimpleQueue[messages.Event | None] = queue.SimpleQueue()  # None ends the thread
         self._workers: dict[tuple[str, Lane], StoreWorker] = {}
-        self._thread = threading.Thread(target=self._run, name="store-coordinator", daemon=True)
+        self._thread: threading.Thread | None = None  # None before `start`
 
     def start(self) -> None:
-        """Starts all threads; connections are made with the first commands."""
+        """Starts all threads; connections are made with the first commands.
+
+        Raises RuntimeError where the system has none in time.
+        """
         for store in self._settings.stores:
             for lane in Lane:
                 worker = StoreWorker(self._context, store, lane)
                 self._workers[store.name, lane] = worker
                 worker.start()
-        self._thread.start()
+        self._thread = start_thread(self._run, "store-coordinator", START_TIMEOUT_S)
 
     def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
         """Ends all threads, and waits for them up to the timeout; commands in flight are left to theirs."""
@@ -76,7 +80,8 @@
         self._events.put(None)
         for worker in self._workers.values():
             worker.close()
-        self._thread.join(timeout_s)
+        if self._thread is not None:
+            self._thread.join(timeout_s)
         for worker in self._workers.values():
             worker.join(max(0.0, until - time.monotonic()))
 
--- a/olivepost/shared_store/store_worker.py
+++ b/olivepost/shared_store/store_worker.py
@@ -13,6 +13,7 @@
 
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.event_log import EventLog
+from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.shared_store import client, messages
 from olivepost.shared_store.fault_log import FaultLog
 from olivepost.shared_store.scripts import read_reply
@@ -68,11 +69,12 @@
         self._queue: deque[QueuedCommand] = deque()
         self._changed = threading.Condition()
         self._is_closed = False
-        self._thread = threading.Thread(target=self._run, name=f"store-{lane.value}", daemon=True)
+        self._thread_name = f"store-{lane.value}"
+        self._thread: threading.Thread | None = None  # None before `start`
 
     def start(self) -> None:
-        """Starts the thread."""
-        self._thread.start()
+        """Starts the thread; raises RuntimeError where the system has none in time."""
+        self._thread = start_thread(self._run, self._thread_name, START_TIMEOUT_S)
 
     def submit(self, command: messages.StoreCommand) -> None:
         """Queues a command; its reply is lost at once where the queue is full or the worker closed."""
@@ -92,7 +94,8 @@
 
     def join(self, timeout_s: float) -> None:
         """Waits for the thread's end; where its store is unresponsive, the thread ends at its timeout."""
-        self._thread.join(timeout_s)
+        if self._thread is not None:
+            self._thread.join(timeout_s)
 
     def _run(self) -> None:
         while batch := self._take_batch():
--- a/tests/shared_store/test_host.py
+++ b/tests/shared_store/test_host.py
@@ -8,6 +8,8 @@
 import time
 from contextlib import ExitStack
 
+import pytest
+
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.event_log import EventLog
 from olivepost.shared_store.host import CLOSE_TIMEOUT_S, StoreHost
@@ -17,19 +19,43 @@
 SCHEDULING_SLACK_S = 0.5
 
 
+def make_host(stack: ExitStack, listeners: list[socket.socket]) -> StoreHost:
+    stores = [
+        {"name": f"s{number}", "address": "{}:{}".format(*listener.getsockname())}
+        for number, listener in enumerate(listeners)
+    ]
+    settings = SharedStoreSettings.model_validate({"branch": "b", "stores": stores, "give_up": "5s"})
+    devnull = os.open(os.devnull, os.O_WRONLY)
+    stack.callback(os.close, devnull)
+    log = EventLog(Clock(), "n1", descriptor=devnull)
+    stack.callback(log.close, WAIT_TIMEOUT_S)
+    return StoreHost(settings, "n1", Clock(), log, lambda _: None)
+
+
+def test_start_waits_for_threads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that does not start where the system has no thread for a moment."""
+    failures = iter(range(5))
+    start = threading.Thread.start
+
+    def start_late(thread: threading.Thread) -> None:
+        if next(failures, None) is not None:
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    with ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        host = make_host(stack, [listener])
+        monkeypatch.setattr(threading.Thread, "start", start_late)
+        host.start()
+        listener.settimeout(WAIT_TIMEOUT_S)
+        stack.enter_context(listener.accept()[0])  # a worker runs
+        host.close()
+
+
 def test_stores_that_never_respond_delay_the_close_once_and_not_each() -> None:
     with ExitStack() as stack:
         listeners = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(MAX_STORES)]
-        stores = [
-            {"name": f"s{number}", "address": "{}:{}".format(*listener.getsockname())}
-            for number, listener in enumerate(listeners)
-        ]
-        settings = SharedStoreSettings.model_validate({"branch": "b", "stores": stores, "give_up": "5s"})
-        devnull = os.open(os.devnull, os.O_WRONLY)
-        stack.callback(os.close, devnull)
-        log = EventLog(Clock(), "n1", descriptor=devnull)
-        stack.callback(log.close, WAIT_TIMEOUT_S)
-        host = StoreHost(settings, "n1", Clock(), log, lambda _: None)
+        host = make_host(stack, listeners)
         host.start()
         for listener in listeners:  # every store has a connection, on which nothing comes back
             listener.settimeout(WAIT_TIMEOUT_S)
