A store's reply with too few values is a malformed record, not an exception

Callers saw: a request that waited out its lookup timeout; other proxies waited for the lease that the reply granted.

Cause: the lookups' handler indexed values[1] and values[2].

--- a/olivepost/shared_store/lookups.py
+++ b/olivepost/shared_store/lookups.py
@@ -121,11 +121,11 @@
         """Gives the hint that follows from a reply, if any; raises `RecordError` for a malformed reply."""
         match values[0]:
             case ReplyType.LEASE_GRANTED if lookup.lease is not None:
-                self._acquire_lease(now, lookup.lease, fencing_number=parse_integer(values[1]))
+                self._acquire_lease(now, lookup.lease, fencing_number=parse_integer(_value(values, 1)))
             case ReplyType.LEASE_TAKEN:
-                self._follow_lease(lookup, stored=values[1], remaining_ms=values[2])
+                self._follow_lease(lookup, stored=_value(values, 1), remaining_ms=_value(values, 2))
             case ReplyType.LOCATED if self._context.terms.locations_enabled:
-                self._use_location(now, lookup, stored=values[1])
+                self._use_location(now, lookup, stored=_value(values, 1))
             case ReplyType.LOCATED | ReplyType.UNKNOWN:
                 pass
             case _:
@@ -190,3 +190,10 @@
     invalidation_keys = (f"o:{lookup.object}", f"g:{lookup.group}")
     lease_request = None if lookup.lease is None else lookup.lease.request
     return LookUp(lookup.generation, lookup.request.name, invalidation_keys, lease_request)
+
+
+def _value(values: ReplyValues, index: int) -> object:
+    """One value of a reply; raises RecordError where the reply has too few."""
+    if index >= len(values):
+        raise RecordError(f"a lookup's reply with {len(values)} values", f"at least {index + 1}")
+    return values[index]
