The stores of quota offers that were never answered are forgotten with them

What was seen: by reading, after the offers themselves: QuotaExchange kept the store of each offer until its answer, so each event that failed in the router left an entry for good. Fix: an entry without an open offer is dropped with the next offer.

--- a/olivepost/shared_store/quota_donations.py
+++ b/olivepost/shared_store/quota_donations.py
@@ -40,6 +40,10 @@
         self._donations: dict[int, Donation] = {}  # offered to the router, by transfer id
         self._answered_until: dict[str, Instant] = {}  # by the nonce of each request that is being answered
 
+    def __contains__(self, transfer_id: int) -> bool:
+        """Whether the router's answer to an offer is still to come."""
+        return transfer_id in self._donations
+
     def offer(self, now: Instant, transfer_id: int, field: str, request: QuotaRequest) -> Donation | None:
         """Returns the donation to ask the router for in answer to a request; None where there is none."""
         self._drop_expired(now)
--- a/olivepost/shared_store/quota_exchange.py
+++ b/olivepost/shared_store/quota_exchange.py
@@ -120,6 +120,11 @@
         donation = self._donations.offer(now, transfer_id, requested.field, request)
         if donation is None:
             return
+        self._offered = {
+            offered_id: offered_store
+            for offered_id, offered_store in self._offered.items()
+            if offered_id in self._donations
+        }
         self._offered[transfer_id] = store
         event = api.QuotaRequested(transfer_id, key, request.amount, donation.expires_at)
         self._context.notify_router(event)
--- a/tests/shared_store/test_quota_transfers.py
+++ b/tests/shared_store/test_quota_transfers.py
@@ -173,3 +173,5 @@
     assert donations.offer(SECOND, MAX_DONATIONS, "f", late_request) is None  # the others are still open
 
     assert donations.offer(2 * SECOND, MAX_DONATIONS, "f", late_request) is not None
+    assert 0 not in donations
+    assert MAX_DONATIONS in donations
