A request with two Host fields gets 400

Cause: fields that the proxy doesn't use were not checked. Fix: the request parser reads Host as a field that may stand once. The new case of the parser's bad requests failed before.

--- a/olivepost/proxy/http1.py
+++ b/olivepost/proxy/http1.py
@@ -182,6 +182,7 @@
         del self._data[: end + len(END_OF_HEAD)]
         self._searched_bytes = 0
         head = Message(self._parse_start_line(first_line), parse_headers(field_lines), b"")
+        self._check_fields(head)
         self._body_length = self._read_body_length(head)
         self._head = head
 
@@ -209,6 +210,9 @@
     def _check_has_no_body(self, head: Message[StartLineT]) -> None:
         """Raises HttpError where a message without a length may have a body."""
 
+    def _check_fields(self, head: Message[StartLineT]) -> None:
+        """Raises HttpError where fields that every message of its kind may have are invalid."""
+
 
 class RequestParser(Parser[RequestLine]):
     """Parses requests; one without a Content-Length has no body."""
@@ -225,6 +229,9 @@
             raise HttpError(505 if version_token.startswith(b"HTTP/") else 400, "bad version")
         return RequestLine(method.decode("ascii"), target.decode("ascii"), version)
 
+    def _check_fields(self, head: Message[RequestLine]) -> None:
+        head.header("host")  # at most one (RFC 9112, section 3.2)
+
 
 class ResponseParser(Parser[StatusLine]):
     """Parses responses; one without a Content-Length is accepted only where its status allows no body."""
--- a/tests/proxy/test_http1.py
+++ b/tests/proxy/test_http1.py
@@ -92,6 +92,7 @@
         (b"GET / HTTP/1.1\r\na : b\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\na: b\r\n folded\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
