Numbers that are not finite are malformed input, with line and field

What was seen: Infinity, NaN or 10**400 in a number field of the simulator's wire ended the adapter with a traceback; in discovery an Infinity was logged as a fault of the program. Cause: FieldReader.integer called int on it, FieldReader.number took it. Fix: both say what is allowed.

--- a/olivepost/config/fields.py
+++ b/olivepost/config/fields.py
@@ -4,12 +4,14 @@
 
 import re
 import reprlib
+import sys
 from collections.abc import Mapping
 from typing import Any, NamedTuple, TypeVar
 
 from olivepost.units import Duration
 
 MAX_DURATION: Duration = 1 << 62  # an instant plus a longer one would overflow 64 bits
+MAX_NUMBER = sys.float_info.max  # JSON may hold larger ones, and Python's decoder takes Infinity and NaN
 MAX_OCTET = 255
 MAX_PORT = 65_535
 IPV4_ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})", re.ASCII)
@@ -73,13 +75,16 @@
     def integer(self, key: str, default: int | None = None) -> int:
         """A whole number, also one that is written with a decimal point."""
         value = self._get(key, (int, float), "a whole number", default)
-        if value != int(value):
+        if isinstance(value, float) and not value.is_integer():
             raise self.error(key, f"must be a whole number, not {value:g}")
         return int(value)
 
     def number(self, key: str, default: float | None = None) -> float:
-        """Any number."""
-        return float(self._get(key, (int, float), "a number", default))
+        """Any finite number."""
+        value = self._get(key, (int, float), "a number", default)
+        if not -MAX_NUMBER <= value <= MAX_NUMBER:
+            raise self.error(key, f"must be a finite number, not {_shorten(str(value))}")
+        return float(value)
 
     def text(self, key: str, default: str | None = None) -> str:
         """A string."""
