A fault in a response writer releases the body and ends the connection

What was seen: after an exception of the program in a response writer the body's buffers stayed in use for good; on a slow writer's thread the client waited for the rest.

Cause: the handlers at the threads' tops closed the connection, or only logged, and released nothing. Fix: ResponseDelivery releases the response whatever it raises, both threads end the connection, and only the start of a thread is taken for want of one.

Both new tests failed before with 'a body buffer is still in use'.

--- a/olivepost/proxy/downstream/response_delivery.py
+++ b/olivepost/proxy/downstream/response_delivery.py
@@ -31,12 +31,15 @@
             if self._release_if_abandoned(exchange, response):
                 return []
             self._closes_after_response = not lifecycle.stays_open
-            buffers = encode_response(response, self._closes_after_response)
             try:
+                buffers = encode_response(response, self._closes_after_response)
                 unsent = sockets.send_buffers(lifecycle.sock, buffers, socket.MSG_DONTWAIT)
             except OSError:
                 lifecycle.abort(CloseReason.WRITE_FAILED)
                 unsent = []
+            except BaseException:
+                response.release()
+                raise
             if unsent:
                 lifecycle.deadline = self._write_deadline(exchange)
             else:
@@ -54,7 +57,11 @@
                 sockets.send_buffers(lifecycle.sock, unsent)
             except OSError:
                 lifecycle.abort(CloseReason.WRITE_FAILED)
-            lifecycle.is_write_blocked = False
+            except BaseException:
+                response.release()
+                raise
+            finally:
+                lifecycle.is_write_blocked = False
             self._complete(response)
 
     def abandon_response(self, exchange: Exchange, response: Response) -> None:
--- a/olivepost/proxy/downstream/response_writer.py
+++ b/olivepost/proxy/downstream/response_writer.py
@@ -13,7 +13,10 @@
 
 
 class ResponseTarget(Protocol):
-    """The connection that a response is written to, as the writer threads see it."""
+    """The connection that a response is written to, as the writer threads see it.
+
+    Whatever `write` or `finish_writing` raises, the response is released.
+    """
 
     def write(self, exchange: Exchange, response: Response, /) -> list[memoryview]:
         """Writes the response without waiting; returns what the socket did not take."""
@@ -62,17 +65,19 @@
                 unsent = job.target.write(job.exchange, job.response)
                 if unsent:
                     self._start_slow_writer(job, unsent)
-            except RuntimeError:  # no thread can be started: the client can tell that its response is cut off
-                log.increment("threads_short")
-                job.target.abandon_response(job.exchange, job.response)
             except Exception:  # the top of a thread: a fault in one connection must not end the writer of all
                 log.exception("response_writer_error")
                 job.target.abort(CloseReason.ERROR)
 
     def _start_slow_writer(self, job: WriteJob, unsent: list[memoryview]) -> None:
-        """Starts the thread that finishes a response; raises RuntimeError where the system has none."""
+        """Starts the thread that finishes a response; without one, the client can tell that it is cut off."""
         self._log.increment("slow_clients")
-        threading.Thread(target=self._finish, args=(job, unsent), name="slow-writer", daemon=True).start()
+        thread = threading.Thread(target=self._finish, args=(job, unsent), name="slow-writer", daemon=True)
+        try:
+            thread.start()
+        except (RuntimeError, MemoryError):
+            self._log.increment("threads_short")
+            job.target.abandon_response(job.exchange, job.response)
 
     def _finish(self, job: WriteJob, unsent: list[memoryview]) -> None:
         log = self._log
@@ -80,3 +85,4 @@
             job.target.finish_writing(job.exchange, job.response, unsent)
         except Exception:  # the top of a thread: a fault is logged with its trace
             log.exception("response_writer_error")
+            job.target.abort(CloseReason.ERROR)
--- a/tests/proxy/test_error_isolation.py
+++ b/tests/proxy/test_error_isolation.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import threading
 from typing import Any
 
 import pytest
 
 from olivepost import interface as api
+from olivepost.proxy import sockets
 from olivepost.proxy.downstream.request_reader import RequestReader
-from tests.proxy_harness import running_proxy
+from tests.proxy_harness import (
+    HttpClient,
+    reply_with_large_body,
+    request_with_small_receive_buffer,
+    running_proxy,
+)
 
 
 def test_error_in_one_connection_closes_only_that(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -27,6 +34,35 @@
         assert proxy.counter("downstream_connection_error") == 1
 
 
+def test_error_in_a_response_writer_releases_the_body(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against buffers that no response holds any more; `running_proxy` checks that none is in use."""
+    with running_proxy() as proxy, proxy.connect() as client, proxy.connect() as other:
+        with monkeypatch.context() as patched:
+            patched.setattr("olivepost.proxy.downstream.response_delivery.encode_response", None)
+            client.send(HttpClient.encode_request())
+            assert client.is_closed_by_proxy()
+        assert other.request().status == 200
+        assert proxy.counter("response_writer_error") == 1
+
+
+@pytest.mark.usefixtures("small_send_buffer")
+def test_error_in_a_slow_response_writer_releases_the_body(monkeypatch: pytest.MonkeyPatch) -> None:
+    send_buffers = sockets.send_buffers
+
+    def send_with_fault(sock: Any, parts: Any, flags: int = 0) -> Any:
+        if threading.current_thread().name == "slow-writer":
+            raise ValueError("unexpected")
+        return send_buffers(sock, parts, flags)
+
+    monkeypatch.setattr(sockets, "send_buffers", send_with_fault)
+    with running_proxy(reply_with_large_body) as proxy:
+        sock = request_with_small_receive_buffer(proxy)
+        while sock.recv(65_536):
+            pass
+        assert proxy.counter("response_writer_error") == 1
+        sock.close()
+
+
 def test_error_in_the_event_loop_fails_only_that_request(monkeypatch: pytest.MonkeyPatch) -> None:
     with running_proxy() as proxy, proxy.connect() as client:
         handle = proxy.parts.event_loop._router.handle
