A lease that a full table drops is counted as dropped, not as fenced

What was seen: leases_fenced rose though no fencing number had gone back. Cause: LeaseTable.add says False for both. Fix: leases_dropped where the table is full. The new test failed before.

--- a/olivepost/shared_store/fill_leases.py
+++ b/olivepost/shared_store/fill_leases.py
@@ -83,9 +83,12 @@
             requested_at=pending.requested_at,
             expires_at=pending.requested_at + pending.request.duration_ms * MILLISECOND,
         )
-        is_added = self._table.add(lease)
-        self._context.counts["leases_granted" if is_added else "leases_fenced"] += 1
-        return is_added
+        counts = self._context.counts
+        if self._table.add(lease):
+            counts["leases_granted"] += 1
+            return True
+        counts["leases_dropped" if self._table.is_full else "leases_fenced"] += 1
+        return False
 
     def release(self, now: Instant, event: LeaseReleased) -> None:
         """Releases the lease of a request that has ended, or defers that until the store's reply comes."""
--- a/olivepost/shared_store/lease_table.py
+++ b/olivepost/shared_store/lease_table.py
@@ -39,12 +39,17 @@
     def __len__(self) -> int:
         return len(self._by_request)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further lease can be added."""
+        return len(self._by_request) >= MAX_LEASES
+
     def add(self, lease: OwnedLease) -> bool:
         """Adds a lease; False where the name's fencing number did not grow, or the table is full."""
         latest = self._by_name.get(lease.name)
         if latest is not None and lease.fencing_number <= latest.fencing_number:
             return False
-        if len(self._by_request) >= MAX_LEASES:
+        if self.is_full:
             return False
         self._by_request[lease.request_id] = lease
         self._by_name[lease.name] = lease
--- a/tests/shared_store/test_lease_table.py
+++ b/tests/shared_store/test_lease_table.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import pytest
+
+from olivepost.shared_store import lease_table
 from olivepost.shared_store.lease_table import LeaseTable, OwnedLease
 from tests.router_harness import MS, SECOND
+from tests.shared_store.model import counted, make_branch
 
 
 def lease(request_id: str, fencing_number: int, expires_at: int = SECOND) -> OwnedLease:
@@ -43,3 +47,14 @@
 
     assert leases.pop("r1") is earlier
     assert leases.find_active(MS, "name", 7) is latest
+
+
+def test_lease_that_a_full_table_drops_is_not_counted_as_fenced(monkeypatch: pytest.MonkeyPatch) -> None:
+    branch = make_branch()
+    monkeypatch.setattr(lease_table, "MAX_LEASES", 0)
+    branch.load(50, SECOND)
+    branch.run(2 * SECOND)
+
+    assert counted(branch, "leases_dropped")
+    assert not counted(branch, "leases_fenced")
+    assert not counted(branch, "leases_granted")
