A step of the main thread or the event loop that takes 3 s is logged with its stack

The event loop and the main thread note when a step begins and ends; the deadline thread logs thread_stalled once for a step of 3 s, with the thread's innermost frames, through the event log, which nobody waits for. SIGUSR1 writes where all threads are to standard error (faulthandler). The soak asks by SIGUSR2, for the main thread alone.

--- a/olivepost/proxy/downstream/deadline_watch.py
+++ b/olivepost/proxy/downstream/deadline_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from olivepost.proxy.downstream.connection_set import ConnectionSet
 from olivepost.proxy.downstream.context import DownstreamContext
@@ -12,14 +13,22 @@
 
 
 class DeadlineWatch:
-    """The deadline thread; it runs from `start` until `stopped` is set, and decides on no deadline itself."""
+    """The deadline thread; it runs from `start` until `stopped` is set, and decides on no deadline itself.
+
+    It also calls `on_check` at each check.
+    """
 
     def __init__(
-        self, context: DownstreamContext, connections: ConnectionSet, stopped: threading.Event
+        self,
+        context: DownstreamContext,
+        connections: ConnectionSet,
+        stopped: threading.Event,
+        on_check: Callable[[], object],
     ) -> None:
         self._context = context
         self._connections = connections
         self._stopped = stopped
+        self._on_check = on_check
 
     def start(self) -> None:
         """Starts the thread; raises RuntimeError where the system has none in time."""
@@ -29,6 +38,7 @@
         while not self._stopped.wait(DEADLINE_CHECK_INTERVAL_S):
             try:
                 self._expire_connections()
+                self._on_check()
             except Exception:  # the top of a thread: the deadlines of all connections depend on it
                 self._context.log.exception("deadline_error")
 
--- a/olivepost/proxy/downstream/downstream_server.py
+++ b/olivepost/proxy/downstream/downstream_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from olivepost.config import Address
 from olivepost.proxy.downstream.connection_admission import ConnectionAdmission
@@ -28,7 +29,10 @@
         self._evictor = ConnectionEvictor(context, self.connections)
         self.admission = ConnectionAdmission(context, self.connections, self._evictor, self._stopped)
         self._listener = Listener(context.log, context.limits.backlog, self.admission.admit)
-        self._deadline_watch = DeadlineWatch(context, self.connections, self._stopped)
+        self.on_deadline_check: Callable[[], object] = lambda: None  # set before `listen`
+        self._deadline_watch = DeadlineWatch(
+            context, self.connections, self._stopped, lambda: self.on_deadline_check()
+        )
 
     @property
     def open_count(self) -> int:
--- a/olivepost/proxy/event_loop.py
+++ b/olivepost/proxy/event_loop.py
@@ -12,12 +12,13 @@
 from olivepost.proxy.action_executor import ActionExecutor
 from olivepost.proxy.delay_histogram import DelayHistogram
 from olivepost.proxy.event_loop_resources import EventLoopResources
-from olivepost.proxy.event_queue import EventQueue
+from olivepost.proxy.event_queue import EventQueue, PostedEvent
 from olivepost.proxy.exchange import Exchange, RequestAbandoned, RequestReceived, Response, ResponseKind
 from olivepost.proxy.exchange_lifecycle import ExchangeLifecycle
 from olivepost.proxy.messages import LoopEvent, StopEventLoop
 from olivepost.proxy.pending_exchanges import PendingExchanges
 from olivepost.proxy.process_events import ProcessEventHandler
+from olivepost.proxy.stall_watch import ThreadActivity
 from olivepost.proxy.timers import Timer, TimerQueue
 from olivepost.proxy.upstream.request import UpstreamAborted, UpstreamCompleted, UpstreamUnsent
 from olivepost.router import Router
@@ -47,6 +48,7 @@
         self._process_events = ProcessEventHandler(resources, self._lifecycle, self._executor)
         self._queue_delays = DelayHistogram()
         self._event_counts: Counter[str] = Counter()
+        self.activity = ThreadActivity("event-loop")
 
     def post(self, event: LoopEvent) -> None:
         """Queues an event; never waits."""
@@ -90,11 +92,12 @@
     def _run_once(self) -> bool:
         """Handles the next event and what is due; returns false where the loop has to end."""
         try:
-            posted_at, event = self._events.get(self._time_to_next_due_s())
+            posted_at, event = self._next_event()
         except queue.Empty:
             self._fire_due()
             return True
         now = self._clock.now()
+        self.activity.begin_step(now)
         self._queue_delays.record(now - posted_at)
         self._event_counts[type(event).__name__] += 1
         if isinstance(event, StopEventLoop):
@@ -109,6 +112,16 @@
 
     # Events
 
+    def _next_event(self) -> PostedEvent:
+        """Waits for the next event; raises queue.Empty where a timer is due first."""
+        timeout_s = self._time_to_next_due_s()
+        self.activity.end_step()
+        try:
+            return self._events.get(timeout_s)
+        except queue.Empty:
+            self.activity.begin_step(self._clock.now())
+            raise
+
     def _handle(self, now: Instant, event: LoopEvent) -> None:
         match event:
             case RequestReceived():
--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import faulthandler
 import gc
+import signal
 import sys
 import threading
 from collections.abc import Callable
@@ -14,6 +16,7 @@
 from olivepost.proxy.metrics import collect_metrics
 from olivepost.proxy.shutdown import GracefulShutdown
 from olivepost.proxy.signals import SignalListener, SignalRequest, WaitForSignal, wait_without_signals
+from olivepost.proxy.stall_watch import StallWatch, ThreadActivity
 from olivepost.proxy.threads import START_TIMEOUT_S, start_thread
 from olivepost.proxy.wiring import build_parts
 from olivepost.units import SECOND, Duration, Instant
@@ -56,6 +59,11 @@
         self._source = source or ConfigurationSource(lambda: config, lambda: operator)
         self._wait_for_signal = wait_for_signal
         self._is_reload_due = False  # again: the last one had no thread for discovery
+        self._activity = ThreadActivity("main")
+        stall_watch = StallWatch(
+            self.parts.clock, self.parts.log, (self._activity, self.parts.event_loop.activity)
+        )
+        self.parts.downstream.on_deadline_check = stall_watch.check
 
     def start(self) -> Address:
         """Applies the known endpoint list, then listens, so that no response precedes the list.
@@ -124,7 +132,9 @@
         while True:
             now = clock.now()
             check_at = min(until, now + monitor.interval)
+            self._activity.end_step()
             request = self._wait_for_signal(max(0, check_at - now))
+            self._activity.begin_step(clock.now())
             if request is SignalRequest.RELOAD or self._is_reload_due:
                 self._run_guarded(self.reload, "reload_error")
             self._run_guarded(monitor.check, "memory_monitor_error")
@@ -151,6 +161,7 @@
     operator: OperatorSettings | None,
 ) -> int:
     """Runs a proxy until SIGTERM or SIGINT; SIGHUP reloads its configuration. Returns the exit code."""
+    faulthandler.register(signal.SIGUSR1)  # writes to standard error where each thread is
     threading.stack_size(config.limits.stack_bytes)
     try:
         proxy = ProxyServer(config, STDOUT, operator, source, signals.wait)
--- a/tests/soak/faulty_calls.py
+++ b/tests/soak/faulty_calls.py
@@ -5,7 +5,7 @@
 SOAK_SMALL_SEND_BUFFERS (if set, the system grants no larger ones) and SOAK_PEEK_SHORTAGE (if set, looking at
 a socket's bytes without waiting fails from some seconds after the start on).
 
-SIGUSR1 writes to standard error where the main thread is.
+SIGUSR2 writes to standard error where the main thread is.
 """
 
 from __future__ import annotations
@@ -98,8 +98,9 @@
     return receive
 
 
-# Of one thread, since a dump ends after a hundred: the system gives a process's signals to the main thread.
-faulthandler.register(signal.SIGUSR1, all_threads=False)
+# Of one thread, unlike the proxy's own SIGUSR1, whose dump ends after a hundred threads: the system gives a
+# process's signals to the main thread.
+faulthandler.register(signal.SIGUSR2, all_threads=False)
 patched: Any = socket.socket
 if os.environ.get("SOAK_SMALL_SEND_BUFFERS"):
     patched.setsockopt = _with_small_buffers(socket.socket.setsockopt)
--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -112,9 +112,9 @@
         self._is_log_read.clear()
 
     def main_thread_stack(self) -> str:
-        """Where the main thread is, as the process writes it on SIGUSR1; empty where it does not in time."""
+        """Where the main thread is, as the process writes it on SIGUSR2; empty where it does not in time."""
         known = len(self._error_lines)
-        self.signal(signal.SIGUSR1)
+        self.signal(signal.SIGUSR2)
         for _ in range(int(DUMP_TIMEOUT_S / DUMP_INTERVAL_S)):
             time.sleep(DUMP_INTERVAL_S)
             lines = self._error_lines[known:]
