A paused main thread does not exit while a response is pending

What was seen: test_partly_read_request_is_served_at_shutdown failed once beside other load: the proxy closed the connection of a partial request.

Fix: pending responses are looked for first.

test_pause_of_the_main_thread_does_not_end_the_wait_for_a_pending_response failed before. The tests of the exit stand in a file of their own; start_shutdown moved to the fakes.

--- a/olivepost/proxy/shutdown.py
+++ b/olivepost/proxy/shutdown.py
@@ -111,9 +111,11 @@
         `open_connections` are closed as they become idle: their last response may not have announced it.
         """
         closed_by = self._clock.now() + int(CLIENT_CLOSE_S * SECOND)
-        while self._downstream.open_count and self._clock.now() < min(closed_by, self._schedule.exit_by):
+        while self._downstream.open_count and self._clock.now() < self._schedule.exit_by:
             if self._downstream.has_pending_responses:
                 closed_by = self._clock.now() + int(CLIENT_CLOSE_S * SECOND)
+            elif self._clock.now() >= closed_by:
+                return
             self._wait_until(self._clock.now() + CHECK_INTERVAL)
             open_connections = [
                 connection for connection in open_connections if not connection.close_if_idle()
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -4,7 +4,7 @@
 
 import socket
 import threading
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -13,6 +13,7 @@
 from olivepost.proxy import sockets
 from olivepost.proxy.downstream.connection_lifecycle import ConnectionLifecycle
 from olivepost.proxy.upstream.writer import ConnectionWriter
+from olivepost.units import Instant
 from tests.proxy_harness import WAIT_TIMEOUT_S, ProxyHarness, toy_config
 
 MS = 1_000_000
@@ -103,3 +104,19 @@
     return (
         proxy.parts.event_loop._router.state.endpoints.by_id["a"].metadata.state is api.EndpointState.DRAINING
     )
+
+
+class StartedShutdown(NamedTuple):
+    """The thread of a shutdown, and when it began."""
+
+    thread: threading.Thread
+    began_at: Instant
+
+
+def start_shutdown(proxy: ProxyHarness) -> StartedShutdown:
+    """Starts the shutdown as SIGTERM does."""
+    thread = threading.Thread(target=proxy.server.shut_down)
+    began_at = proxy.parts.clock.now()
+    thread.start()
+    assert proxy.wait_until(lambda: proxy.parts.downstream.is_draining)
+    return StartedShutdown(thread, began_at)
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -4,7 +4,7 @@
 
 import socket
 import threading
-from typing import Any, NamedTuple
+from typing import Any
 
 import pytest
 
@@ -12,9 +12,8 @@
 from olivepost.proxy import shutdown
 from olivepost.proxy.downstream.connection_admission import ConnectionAdmission
 from olivepost.proxy.downstream.response_delivery import ResponseDelivery
-from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.signals import SignalRequest, wait_without_signals
-from olivepost.units import SECOND, Instant
+from olivepost.units import SECOND
 from tests.proxy.fakes import (
     MS,
     DelayedConnects,
@@ -23,6 +22,7 @@
     no_attempt_was_sent,
     only_connection,
     settings_with_idempotency,
+    start_shutdown,
 )
 from tests.proxy_harness import (
     OBJECT_NAME,
@@ -118,22 +118,6 @@
 KILLED_AFTER = 1500 * MS  # after SIGTERM, with `short_shutdown`
 
 
-class StartedShutdown(NamedTuple):
-    """The thread of a shutdown, and when it began."""
-
-    thread: threading.Thread
-    began_at: Instant
-
-
-def start_shutdown(proxy: ProxyHarness) -> StartedShutdown:
-    """Starts the shutdown as SIGTERM does."""
-    thread = threading.Thread(target=proxy.server.shut_down)
-    began_at = proxy.parts.clock.now()
-    thread.start()
-    assert proxy.wait_until(lambda: proxy.parts.downstream.is_draining)
-    return StartedShutdown(thread, began_at)
-
-
 @pytest.mark.usefixtures("short_shutdown")
 def test_pending_requests_get_responses_before_the_kill_where_upstream_hangs() -> None:
     with running_proxy(never_reply) as proxy, proxy.connect() as client:
@@ -336,45 +320,3 @@
         slow_client.close()
         ending.join(WAIT_TIMEOUT_S)
         assert not is_late
-
-
-@pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
-def test_log_that_nobody_reads_does_not_delay_the_exit_past_the_kill(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against steps of a shutdown that each wait for a time of their own, one after another."""
-    kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
-    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
-        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
-        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
-        may_write = threading.Event()
-
-        def write_late(_log: EventLog, _line: bytes) -> None:
-            may_write.wait(WAIT_TIMEOUT_S)
-
-        monkeypatch.setattr(EventLog, "_write_line", write_late)
-        ending = threading.Thread(target=proxy.server.shut_down)
-        ending.start()
-        ending.join(kill_after_s)
-        is_late = ending.is_alive()
-        may_write.set()
-        slow_client.close()
-        ending.join(WAIT_TIMEOUT_S)
-        assert not is_late
-
-
-@pytest.mark.usefixtures("short_shutdown")
-def test_repeated_signals_leave_clients_their_time_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a time that is counted in waits, which every signal ends early."""
-    monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.5)
-    with running_proxy() as proxy, proxy.connect() as idle:
-        assert idle.request().status == 200
-
-        def receive_signals(timeout: int) -> SignalRequest:
-            wait_without_signals(min(timeout, MS))
-            return SignalRequest.SHUT_DOWN
-
-        proxy.server._wait_for_signal = receive_signals
-        ending, began = start_shutdown(proxy)
-        ending.join(WAIT_TIMEOUT_S)
-        assert proxy.parts.clock.now() > began + shutdown.ACCEPT_FOR + 450 * MS
--- /dev/null
+++ b/tests/proxy/test_shutdown_exit.py
@@ -0,0 +1,82 @@
+"""The exit of a graceful shutdown: before the kill, whatever its steps wait for."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from olivepost.proxy import shutdown
+from olivepost.proxy.event_log import EventLog
+from olivepost.proxy.signals import SignalRequest, wait_without_signals
+from olivepost.units import SECOND
+from tests.proxy.fakes import MS, DelayedReplies, start_shutdown
+from tests.proxy_harness import (
+    WAIT_TIMEOUT_S,
+    HttpClient,
+    reply_with_large_body,
+    request_with_small_receive_buffer,
+    running_proxy,
+)
+
+
+@pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
+def test_log_that_nobody_reads_does_not_delay_the_exit_past_the_kill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against steps of a shutdown that each wait for a time of their own, one after another."""
+    kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
+    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
+        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
+        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+        may_write = threading.Event()
+
+        def write_late(_log: EventLog, _line: bytes) -> None:
+            may_write.wait(WAIT_TIMEOUT_S)
+
+        monkeypatch.setattr(EventLog, "_write_line", write_late)
+        ending = threading.Thread(target=proxy.server.shut_down)
+        ending.start()
+        ending.join(kill_after_s)
+        is_late = ending.is_alive()
+        may_write.set()
+        slow_client.close()
+        ending.join(WAIT_TIMEOUT_S)
+        assert not is_late
+
+
+@pytest.mark.usefixtures("short_shutdown")
+def test_repeated_signals_leave_clients_their_time_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a time that is counted in waits, which every signal ends early."""
+    monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.5)
+    with running_proxy() as proxy, proxy.connect() as idle:
+        assert idle.request().status == 200
+
+        def receive_signals(timeout: int) -> SignalRequest:
+            wait_without_signals(min(timeout, MS))
+            return SignalRequest.SHUT_DOWN
+
+        proxy.server._wait_for_signal = receive_signals
+        ending, began = start_shutdown(proxy)
+        ending.join(WAIT_TIMEOUT_S)
+        assert proxy.parts.clock.now() > began + shutdown.ACCEPT_FOR + 450 * MS
+
+
+def test_pause_of_the_main_thread_does_not_end_the_wait_for_a_pending_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that stood still for longer than clients have to close, and then exits."""
+    monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.05)
+    monkeypatch.setattr(shutdown, "ACCEPT_FOR", 100 * MS)
+    delayed_replies = DelayedReplies()
+    with running_proxy(delayed_replies) as proxy, proxy.connect() as client:
+        client.send(HttpClient.encode_request(timeout_ms=15_000))
+        proxy.wait_for_fetches()
+        proxy.server._wait_for_signal = lambda _: wait_without_signals(100 * MS)
+        ending, began = start_shutdown(proxy)
+        assert proxy.wait_until(lambda: proxy.parts.clock.now() > began + 500 * MS)
+        assert ending.is_alive()
+        delayed_replies.may_reply.set()
+        assert client.read_response().status == 200
+        client.sock.close()
+        ending.join(WAIT_TIMEOUT_S)
