--- a/olivepost/proxy/discovery/watch_state.py
+++ b/olivepost/proxy/discovery/watch_state.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from olivepost import interface as api
 from olivepost.config import FieldReader
 from olivepost.proxy.clock import Clock
@@ -50,7 +52,7 @@
         events = self._apply(data)
         ages = [event.change.age for event in events if isinstance(event.change, api.Invalidation)]
         youngest_age = min(ages, default=0)
-        return [_with_age_reduced(event, youngest_age) for event in events]
+        return [_with_age(event, lambda age: age - youngest_age) for event in events]
 
     def apply_polled(self, data: object) -> list[DiscoveryEvent]:
         """Applies a poll's response and returns its new events, in order.
@@ -59,7 +61,7 @@
         it is, it would let older responses pass; taken for younger, it costs fills of what was generated
         since.
         """
-        return [_with_age_zero(event) for event in self._apply(data)]
+        return [_with_age(event, lambda _: 0) for event in self._apply(data)]
 
     def _apply(self, data: object) -> list[DiscoveryEvent]:
         """Advances to the response's index, or begins a resync where events before it are missing.
@@ -123,16 +125,9 @@
         return DiscoveryEvent(restored, event.addresses)
 
 
-def _with_age_reduced(event: DiscoveryEvent, reduction: Duration) -> DiscoveryEvent:
-    change = event.change
-    if not isinstance(change, api.Invalidation):
-        return event
-    reduced = api.Invalidation(change.object, change.group, change.age - reduction)
-    return DiscoveryEvent(reduced, event.addresses)
-
-
-def _with_age_zero(event: DiscoveryEvent) -> DiscoveryEvent:
+def _with_age(event: DiscoveryEvent, age_of: Callable[[Duration], Duration]) -> DiscoveryEvent:
+    """An invalidation with another age, by the one it has; any other event as it is."""
     change = event.change
     if not isinstance(change, api.Invalidation):
         return event
-    return DiscoveryEvent(api.Invalidation(change.object, change.group, 0), event.addresses)
+    return DiscoveryEvent(api.Invalidation(change.object, change.group, age_of(change.age)), event.addresses)
--- a/tests/proxy/test_client_limits.py
+++ b/tests/proxy/test_client_limits.py
@@ -8,16 +8,9 @@
 
 import pytest
 
-from examples.toy_server import Coordinator
-from olivepost.proxy.downstream import connection_admission
-from olivepost.proxy.downstream.connection_admission import SLOT_RETRY_INTERVAL_S
 from tests.proxy.fakes import (
     MS,
-    DelayedReplies,
-    cache_a_is_draining,
-    draining_entries,
     idle_connection,
-    only_connection,
 )
 from tests.proxy_harness import (
     WAIT_TIMEOUT_S,
@@ -72,163 +65,6 @@
         assert client.request().status == 200
 
 
-def test_at_the_connection_limit_the_longest_idle_is_evicted() -> None:
-    with running_proxy(limits={"sockets": 64, "memory_mb": 64}) as proxy:
-        cap = proxy.parts.config.limits.max_client_connections
-        clients = [proxy.connect() for _ in range(cap)]
-        for client in clients:
-            assert client.request().status == 200
-        assert clients[0].request().status == 200  # no longer the longest idle
-        with proxy.connect() as late:
-            assert late.request().status == 200
-        assert clients[1].is_closed_by_proxy()
-        assert clients[0].request().status == 200
-        assert proxy.parts.downstream.open_count <= cap
-        for client in clients:
-            client.sock.close()
-
-
-def test_at_the_connection_limit_clients_without_a_request_are_evicted_first() -> None:
-    with running_proxy(
-        limits={"sockets": 64, "memory_mb": 64}, bounds={"first_request_timeout": 60 * 10**9}
-    ) as proxy:
-        cap = proxy.parts.config.limits.max_client_connections
-        with proxy.connect() as served:
-            assert served.request().status == 200
-            unused = [proxy.connect() for _ in range(2 * cap)]
-            assert all(client.is_closed_by_proxy() for client in unused[:cap])
-            assert served.request().status == 200
-            assert proxy.counter("connections_evicted") >= cap
-            for client in unused:
-                client.sock.close()
-
-
-def test_at_the_connection_limit_busy_clients_are_waited_for() -> None:
-    delayed_replies = DelayedReplies()
-    with running_proxy(delayed_replies, limits={"sockets": 64, "memory_mb": 64}) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
-        with proxy.connect() as late:
-            late.send(HttpClient.encode_request())
-            assert proxy.wait_until(lambda: proxy.counter("connection_cap_reached") == 1)
-            delayed_replies.may_reply.set()
-            assert late.read_response().status == 200
-            assert [client.read_response().status for client in clients] == [200] * len(clients)
-        for client in clients:
-            client.sock.close()
-
-
-MANY_REQUESTS = 200  # of one client
-FEW_CONNECTIONS = {"sockets": 64, "memory_mb": 64}
-
-
-def test_responses_end_connections_only_while_a_client_waits_for_a_slot() -> None:
-    delayed_replies = DelayedReplies()
-    with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
-        with proxy.connect() as late:
-            late.send(HttpClient.encode_request(timeout_ms=15_000))
-            assert proxy.wait_until(lambda: proxy.parts.downstream.context.is_slot_wanted)
-            delayed_replies.may_reply.set()
-            assert "close" in [client.read_response().headers.get("connection") for client in clients]
-            assert late.read_response().status == 200
-            assert proxy.wait_until(lambda: not proxy.parts.downstream.context.is_slot_wanted)
-            assert "connection" not in late.request(timeout_ms=15_000).headers
-        for client in clients:
-            client.sock.close()
-
-
-def test_client_is_rejected_where_no_slot_becomes_free_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against silence: all slots are taken by requests without a response."""
-    monkeypatch.setattr(connection_admission, "MAX_SLOT_WAIT_S", 0.1)
-    monkeypatch.setattr(connection_admission, "PATIENT_SLOT_WAIT_S", 0.1)
-    delayed_replies = DelayedReplies()
-    with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
-        for _ in range(2):
-            with proxy.connect() as late:
-                status, headers, _ = late.request(timeout_ms=15_000)
-                assert (status, headers["connection"]) == (503, "close")
-                assert late.is_closed_by_proxy()
-        assert proxy.counter("connections_rejected") == 2
-        delayed_replies.may_reply.set()
-        assert [client.read_response().status for client in clients] == [200] * len(clients)
-        for client in clients:
-            client.sock.close()
-
-
-def test_flood_of_connections_without_a_request_ends_no_connection_in_use() -> None:
-    with running_proxy(limits=FEW_CONNECTIONS, bounds={"first_request_timeout": 60 * 10**9}) as proxy:
-        cap = proxy.parts.config.limits.max_client_connections
-        with proxy.connect() as served:
-            assert served.request().status == 200
-            unused = [proxy.connect() for _ in range(3 * cap)]
-            while proxy.counter("connections_evicted") < cap:
-                assert "connection" not in served.request().headers
-            for client in unused:
-                client.sock.close()
-
-
-def test_client_that_writes_its_first_request_slowly_is_not_evicted() -> None:
-    """Guards against a request that is read in part and closed without a response."""
-    with running_proxy(limits=FEW_CONNECTIONS) as proxy, proxy.connect() as slow:
-        request = HttpClient.encode_request(timeout_ms=15_000)
-        slow.send(request[:30])
-        assert proxy.wait_until(lambda: not only_connection(proxy).parser.is_idle)
-        others = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections - 1)]
-        for client in others:
-            assert client.request(timeout_ms=15_000).status == 200
-        with proxy.connect() as late:
-            assert late.request(timeout_ms=15_000).status == 200
-        slow.send(request[30:])
-        assert slow.read_response().status == 200
-        for client in others:
-            client.sock.close()
-
-
-def test_partial_requests_of_a_flood_are_evicted_with_a_rejection() -> None:
-    with running_proxy(limits=FEW_CONNECTIONS, bounds={"first_request_timeout": 60 * 10**9}) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request()[:30])
-        assert proxy.wait_until(
-            lambda: all(
-                connection.has_pending_response
-                for connection in proxy.parts.downstream.connections.snapshot()
-            )
-        )
-        with proxy.connect() as late:
-            assert late.request(timeout_ms=15_000).status == 200
-        status, headers, _ = clients[0].read_response()
-        assert (status, headers["connection"]) == (503, "close")
-        for client in clients:
-            client.sock.close()
-
-
-def test_client_beyond_the_limit_of_memory_pressure_takes_its_turn() -> None:
-    with running_proxy() as proxy, proxy.connect() as busy:
-        assert busy.request().status == 200
-        proxy.parts.downstream.limit_connections(1)
-        with proxy.connect() as late:
-            late.send(HttpClient.encode_request(timeout_ms=15_000))
-            headers: dict[str, str] = {}
-            with contextlib.suppress(ConnectionError):  # it may also be evicted between two requests
-                for _ in range(MANY_REQUESTS):
-                    if "connection" in headers:
-                        break
-                    headers = busy.request(timeout_ms=15_000).headers
-            busy.sock.close()
-            assert late.read_response().status == 200
-
-
 SHORT_TIMEOUTS = {"first_request_timeout": 300_000_000, "keepalive_timeout": 300_000_000}
 
 
@@ -297,27 +133,6 @@
         assert client.read_response().status == 200
 
 
-def test_client_that_was_just_served_is_not_evicted() -> None:
-    """A reset could overtake the response; at the limit another is evicted, or none yet."""
-    with running_proxy(limits={"sockets": 64, "memory_mb": 64}) as proxy:
-        cap = proxy.parts.config.limits.max_client_connections
-        served = [proxy.connect() for _ in range(cap)]
-        for client in served:
-            assert client.request().status == 200
-        now = proxy.parts.clock.now()
-        proxy.parts.downstream.context.clock = type("StoppedClock", (), {"now": staticmethod(lambda: now)})()
-        for connection in proxy.parts.downstream.connections.snapshot():
-            connection.idle_since = now
-        with proxy.connect() as late:
-            assert proxy.wait_until(lambda: proxy.counter("connection_cap_reached") == 1)
-            assert proxy.counter("connections_evicted") == 0
-            served[0].sock.close()
-            assert late.request().status == 200
-        for client in served[1:]:
-            assert client.request().status == 200
-            client.sock.close()
-
-
 @pytest.mark.usefixtures("small_send_buffer")
 def test_slow_reader_is_closed_where_no_thread_can_start(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without a thread for the rest of a response the connection closes and its buffers are released."""
@@ -334,35 +149,3 @@
         assert proxy.wait_until(lambda: proxy.counter("threads_short") == 1)
         assert proxy.wait_until(lambda: proxy.parts.body_buffers.in_use == 0)
         sock.close()
-
-
-def test_idle_clients_at_the_limit_keep_out_neither_discovery_nor_upstream_nor_clients() -> None:
-    """Discovery is down meanwhile; when it is up again, a descriptor is left to poll it."""
-    with running_proxy(limits={"sockets": 64, "memory_mb": 64}) as proxy:
-        assert proxy.coordinator.wait_for_poll(1)
-        proxy.coordinator.close()
-        assert proxy.wait_until(lambda: proxy.counter("poll_failures") >= 1)
-        idle = [proxy.connect() for _ in range(3 * proxy.parts.config.limits.max_client_connections)]
-        for part in range(6):
-            with proxy.connect() as client:
-                assert client.request(part=part).status == 200
-        assert proxy.parts.downstream.peak_count <= proxy.parts.config.limits.max_client_connections
-        restarted = Coordinator(int(proxy.coordinator.address.rpartition(":")[2]))
-        restarted.events = list(proxy.coordinator.events)
-        restarted.add(endpoints={"version": 2, "full": False, "servers": draining_entries(proxy, 1)})
-        assert proxy.wait_until(lambda: cache_a_is_draining(proxy))
-        restarted.close()
-        for client in idle:
-            client.sock.close()
-
-
-def test_flood_of_idle_clients_is_admitted_as_fast_as_slots_become_free() -> None:
-    """An evicted client's slot goes to the next one at once, not at the next check."""
-    with running_proxy(limits={"sockets": 64, "memory_mb": 64}) as proxy:
-        flood = [proxy.connect() for _ in range(10 * proxy.parts.config.limits.max_client_connections)]
-        began_at = time.monotonic()
-        with proxy.connect() as client:
-            assert client.request(timeout_ms=15_000).status == 200
-        assert time.monotonic() - began_at < len(flood) * SLOT_RETRY_INTERVAL_S / 2
-        for idle in flood:
-            idle.sock.close()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
 from tests.soak.options import FIRST_PRESSURE_SEED, PressureOptions, SoakOptions
 
 SEEDS = (3, 21, 38, 43)
+PRESSURE_SEEDS = (1003, 1039, 1262)  # a crowd; a slow reader and a stalled log; a lasting shortage
 RUN_TIMEOUT_S = 90.0
 
 
@@ -20,11 +21,15 @@
 
     def __init__(self, seed: int) -> None:
         super().__init__(["-m", "tests.soak.run", str(seed)], has_pipes=True)
+        self.seed = seed
+        self._output: str | None = None  # None: not waited for yet
 
     def wait(self) -> str:
         """Waits for the end of the run; returns what it printed."""
-        output, _ = self.process.communicate(timeout=RUN_TIMEOUT_S)
-        return str(output, "utf-8")
+        if self._output is None:
+            output, _ = self.process.communicate(timeout=RUN_TIMEOUT_S)
+            self._output = str(output, "utf-8")
+        return self._output
 
     @property
     def exit_code(self) -> int | None:
@@ -39,11 +44,41 @@
         yield {seed: stack.enter_context(SoakRunProcess(seed)) for seed in SEEDS}
 
 
+@pytest.fixture(scope="module")
+def pressure_runs(soak_runs: dict[int, SoakRunProcess]) -> Iterator[dict[int, SoakRunProcess]]:
+    """Seeds with pressure, side by side once the others have ended: a crowd needs the machine."""
+    for run in soak_runs.values():
+        run.wait()
+    with ExitStack() as stack:
+        yield {seed: stack.enter_context(SoakRunProcess(seed)) for seed in PRESSURE_SEEDS}
+
+
+def assert_kept(run: SoakRunProcess) -> None:
+    output = run.wait()
+    assert run.exit_code == 0, f"play it alone: python -m tests.soak.run {run.seed}\n{output}"
+    assert f"seed {run.seed}: kept" in output
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_proxy_keeps_all_invariants_among_faults(soak_runs: dict[int, SoakRunProcess], seed: int) -> None:
-    output = soak_runs[seed].wait()
-    assert soak_runs[seed].exit_code == 0, f"play it alone: python -m tests.soak.run {seed}\n{output}"
-    assert f"seed {seed}: kept" in output
+    assert_kept(soak_runs[seed])
+
+
+@pytest.mark.parametrize("seed", PRESSURE_SEEDS)
+def test_proxy_keeps_all_invariants_under_pressure(
+    pressure_runs: dict[int, SoakRunProcess], seed: int
+) -> None:
+    assert_kept(pressure_runs[seed])
+
+
+def test_suite_seeds_cover_crowds_slow_readers_stalled_logs_and_lasting_shortages() -> None:
+    options = [
+        PressureOptions.sample(seed, SoakOptions.sample(random.Random(seed))) for seed in PRESSURE_SEEDS
+    ]
+    assert any(option.crowd_factor for option in options)
+    assert any(option.slow_readers for option in options)
+    assert any(option.has_stalled_log for option in options)
+    assert any(option.has_lasting_shortage for option in options)
 
 
 def test_suite_seeds_cover_memory_limits_failing_calls_and_clock_errors() -> None:
