No reload delays the exit past the kill

Cause: the main thread reads the files on each SIGHUP, up to the last milliseconds. Fix: from the moment on at which all pending requests get their final response a reload has no effect, since nothing depends on the coordinator any more.

--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -59,6 +59,9 @@
         self._source = source or ConfigurationSource(lambda: config, lambda: operator)
         self._wait_for_signal = wait_for_signal
         self._is_reload_due = False  # again: the last one had no thread for discovery
+        # From then on nothing depends on a coordinator, and reading a file could take until the kill; None:
+        # there is no shutdown.
+        self._reloads_until: Instant | None = None
         self._activity = ThreadActivity("main")
         stall_watch = StallWatch(
             self.parts.clock, self.parts.log, (self._activity, self.parts.event_loop.activity)
@@ -95,7 +98,9 @@
 
     def shut_down(self) -> None:
         """Responds to pending requests and to those that still arrive, and closes everything."""
-        GracefulShutdown(self.parts, self._wait_until, self._log_metrics).run()
+        shutdown = GracefulShutdown(self.parts, self._wait_until, self._log_metrics)
+        self._reloads_until = shutdown.respond_by
+        shutdown.run()
 
     def reload(self) -> None:
         """Reads the configuration again; an invalid one changes nothing.
@@ -135,7 +140,8 @@
             self._activity.end_step()
             request = self._wait_for_signal(max(0, check_at - now))
             self._activity.begin_step(clock.now())
-            if request is SignalRequest.RELOAD or self._is_reload_due:
+            is_reload_asked = request is SignalRequest.RELOAD or self._is_reload_due
+            if is_reload_asked and (self._reloads_until is None or clock.now() < self._reloads_until):
                 self._run_guarded(self.reload, "reload_error")
             self._run_guarded(monitor.check, "memory_monitor_error")
             if request is not None or clock.now() >= until:
--- a/olivepost/proxy/shutdown.py
+++ b/olivepost/proxy/shutdown.py
@@ -77,6 +77,11 @@
         longest_deadline = max(spec.deadline for spec in parts.config.settings.classes.values())
         self._schedule = ShutdownSchedule.from_start(parts.clock.now(), longest_deadline)
 
+    @property
+    def respond_by(self) -> Instant:
+        """When every pending request gets its final response; no attempt begins afterwards."""
+        return self._schedule.respond_by
+
     def run(self) -> None:
         """Returns with nothing open and the log written."""
         self._log_connections("draining")
--- a/tests/proxy/test_shutdown_exit.py
+++ b/tests/proxy/test_shutdown_exit.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from olivepost.config import ProxyConfig
 from olivepost.proxy import shutdown
 from olivepost.proxy.event_log import EventLog
+from olivepost.proxy.server import ConfigurationSource
 from olivepost.proxy.signals import SignalRequest, wait_without_signals
 from olivepost.units import SECOND
 from tests.proxy.fakes import MS, DelayedReplies, start_shutdown
@@ -45,6 +47,33 @@
         assert not is_late
 
 
+@pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
+def test_reloads_do_not_delay_the_exit_past_the_kill() -> None:
+    """Guards against a configuration that is read on the main thread when the end is near."""
+    kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
+    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
+        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
+        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+        config = proxy.parts.config
+
+        def read_slowly() -> ProxyConfig:
+            wait_without_signals(300 * MS)
+            return config
+
+        def receive_reload(timeout: int) -> SignalRequest:
+            wait_without_signals(min(timeout, MS))
+            return SignalRequest.RELOAD
+
+        proxy.server._source = ConfigurationSource(read_slowly, lambda: None)
+        proxy.server._wait_for_signal = receive_reload
+        ending, _ = start_shutdown(proxy)
+        ending.join(kill_after_s)
+        is_late = ending.is_alive()
+        slow_client.close()
+        ending.join(WAIT_TIMEOUT_S)
+        assert not is_late
+
+
 @pytest.mark.usefixtures("short_shutdown")
 def test_repeated_signals_leave_clients_their_time_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a time that is counted in waits, which every signal ends early."""
