A refused accept holds up the accept queue for a millisecond, not for 50

Cause: 50 ms of pause after each failed accept, behind which all wait. Fix: 1 ms, doubled with each failure in a row up to 50 ms.

test_accepts_that_fail_now_and_then_hold_up_no_queue failed before (1.9 s for 40 connections; 1 s allowed).

--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -17,7 +17,10 @@
 
 ACCEPT_STOP_TIMEOUT_S = 1.0  # that the accept thread has to take what the kernel has accepted
 ACCEPT_TIMEOUT: Duration = 50 * MILLISECOND  # between two checks for the end of the listener
-ACCEPT_RETRY_PAUSE_S = 0.05  # without descriptors: open ones must be closed first
+# After a failed accept; doubled with each further failure, up to the longest: without descriptors, open ones
+# must be closed first.
+MIN_ACCEPT_PAUSE_S = 0.001
+MAX_ACCEPT_PAUSE_S = 0.05
 # Errors of one connection that ended before it was accepted, or of a signal: nothing is short.
 TRANSIENT_ACCEPT_ERRORS = (errno.ECONNABORTED, errno.EINTR)
 BIND_TIMEOUT_S = 8.0  # for the address to become free, at a start right after a kill
@@ -37,6 +40,7 @@
         self._admit = admit
         self._thread: threading.Thread | None = None
         self._is_stopping = False
+        self._accept_pause_s = MIN_ACCEPT_PAUSE_S  # after the next failure; the accept thread's
 
     def listen(self, address: Address) -> Address:
         """Binds and starts to accept; returns the bound address; raises OSError.
@@ -89,6 +93,7 @@
             except OSError as error:
                 self._record_accept_failure(error)
                 continue
+            self._accept_pause_s = MIN_ACCEPT_PAUSE_S
             try:
                 self._admit(sock, sockets.accept_queue_length(listener))
             except Exception:  # the top of a thread: no connection's fault may end the listener
@@ -100,4 +105,5 @@
         self._log.increment("accept_failed")
         if error.errno not in TRANSIENT_ACCEPT_ERRORS:
             self._log.sampled_event("accept_failed", reason=error.strerror)
-            time.sleep(ACCEPT_RETRY_PAUSE_S)
+            time.sleep(self._accept_pause_s)
+            self._accept_pause_s = min(2 * self._accept_pause_s, MAX_ACCEPT_PAUSE_S)
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -4,6 +4,7 @@
 
 import _thread
 import errno
+import itertools
 import os
 import socket
 import threading
@@ -70,6 +71,27 @@
         closed.sock.close()
 
 
+def test_accepts_that_fail_now_and_then_hold_up_no_queue(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a pause that is long for one failure: all that wait to be accepted wait it out."""
+    accept = socket.socket.accept
+    counts = itertools.count()
+
+    def fail_every_second(sock: socket.socket) -> Any:
+        is_of_proxy = threading.current_thread().name == "accept"
+        if is_of_proxy and next(counts) % 2:
+            raise os_error(errno.ENFILE)
+        return accept(sock)
+
+    with running_proxy() as proxy:
+        monkeypatch.setattr(socket.socket, "accept", fail_every_second)
+        began_at = time.monotonic()
+        clients = [proxy.connect() for _ in range(40)]
+        assert proxy.wait_until(lambda: proxy.parts.downstream.open_count == len(clients))
+        assert time.monotonic() < began_at + 1
+        for client in clients:
+            client.sock.close()
+
+
 def test_connection_is_served_though_no_thread_is_free_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     start = failing(_thread.start_new_thread, RuntimeError("can't start new thread"), 5)
     with running_proxy() as proxy:
