The wait for a slot counts in the time of the request

Cause: a request's time began when the proxy read it. Fix: the first bytes of a connection that waited for its slot count as received that long ago: the accept thread's own wait, and for the kernel's queue the mean wait times the number that waits behind, 0.7 s at most.

test_wait_for_a_slot_is_taken_from_the_time_of_the_request failed before (1.4 s for 1 s).

--- a/olivepost/proxy/downstream/connection.py
+++ b/olivepost/proxy/downstream/connection.py
@@ -14,6 +14,7 @@
 from olivepost.proxy.downstream.response_delivery import ResponseDelivery
 from olivepost.proxy.downstream.response_writer import ResponseWriters
 from olivepost.proxy.exchange import Exchange, RequestAbandoned
+from olivepost.units import Duration
 
 READ_BUFFER_TIMEOUT_S = 1.0  # a new connection's wait for a read buffer of the pool
 # Reasons for which a connection that has no request in flight ends without a line in the log.
@@ -24,7 +25,8 @@
     """A client's connection. Its reader thread calls `run` and owns the socket.
 
     `lifecycle` is what other threads see of it: state, lock and closes. Requests are read by `RequestReader`
-    on the reader thread, responses are written by `ResponseDelivery` on writer threads.
+    on the reader thread, responses are written by `ResponseDelivery` on writer threads. `queue_delay` is for
+    how long the connection has waited for its slot, as far as is known.
     """
 
     def __init__(
@@ -33,13 +35,14 @@
         sock: socket.socket,
         writers: ResponseWriters,
         on_closed: Callable[[ConnectionLifecycle], None],
+        queue_delay: Duration = 0,
     ) -> None:
         self.lifecycle = ConnectionLifecycle(context, sock)
         self._context = context
         self._sock = sock
         self._on_closed = on_closed
         delivery = ResponseDelivery(context, self.lifecycle)
-        self._reader = RequestReader(context, self.lifecycle, partial(writers.submit, delivery))
+        self._reader = RequestReader(context, self.lifecycle, partial(writers.submit, delivery), queue_delay)
 
     def run(self) -> None:
         """Reads requests until the connection ends; the reader thread's entry point."""
--- a/olivepost/proxy/downstream/connection_admission.py
+++ b/olivepost/proxy/downstream/connection_admission.py
@@ -16,6 +16,7 @@
 from olivepost.proxy.downstream.eviction import ConnectionEvictor
 from olivepost.proxy.downstream.response_writer import ResponseWriters
 from olivepost.proxy.http1 import response_head
+from olivepost.units import SECOND
 
 SLOT_RETRY_INTERVAL_S = 0.02  # between two attempts to evict a connection at the cap
 # For a client and all that wait behind it, until each has a slot or a rejection.
@@ -50,16 +51,24 @@
         self._stopped = stopped
         self._writers = ResponseWriters(context.limits.writer_threads, context.log)
         self._slots = threading.Semaphore(context.limits.max_client_connections)
-        self._mean_slot_wait_s = 0.0  # of the last clients at the cap; the accept thread's
+        # The accept thread's: the mean wait of the last clients at the cap, and the delay of the one in hand.
+        self._mean_slot_wait_s = 0.0
+        self._queue_delay_s = 0.0
 
     def admit(self, sock: socket.socket, waiting_count: int) -> None:
         """Starts a connection once there is a slot; rejects it where there is none in time.
 
         `waiting_count` is the number of connections that wait to be accepted behind this one.
         """
-        if not (self._take_free_slot() or self._wait_for_slot(self._slot_timeout_s(1 + waiting_count))):
-            self._reject(sock)
-            return
+        self._queue_delay_s = 0.0
+        if not self._take_free_slot():
+            began_at = time.monotonic()
+            if not self._wait_for_slot(self._slot_timeout_s(1 + waiting_count)):
+                self._reject(sock)
+                return
+            # Before it was accepted it waited behind about as many as wait behind it now.
+            queued_s = min(MAX_SLOT_WAIT_S, waiting_count * self._mean_slot_wait_s)
+            self._queue_delay_s = time.monotonic() - began_at + queued_s
         try:
             self._start_connection(sock)
         except BaseException:
@@ -121,7 +130,8 @@
             sock.recv(self._context.limits.max_head_bytes, socket.MSG_DONTWAIT)
 
     def _start_connection(self, sock: socket.socket) -> None:
-        connection = DownstreamConnection(self._context, sock, self._writers, self._remove)
+        queue_delay = int(self._queue_delay_s * SECOND)
+        connection = DownstreamConnection(self._context, sock, self._writers, self._remove, queue_delay)
         self._connections.add(connection.lifecycle)
         if not self._start_reader(connection):
             sock.close()
--- a/olivepost/proxy/downstream/request_reader.py
+++ b/olivepost/proxy/downstream/request_reader.py
@@ -10,7 +10,7 @@
 from olivepost.proxy.downstream.routes import ALLOW_HEADER, build_exchange, is_health_check
 from olivepost.proxy.exchange import Exchange, RequestReceived, Response
 from olivepost.proxy.http1 import HttpError, Message, RequestLine
-from olivepost.units import Instant
+from olivepost.units import Duration, Instant
 
 MAX_LINGER_BYTES = 4_194_304  # received and dropped after our half-close, before the connection is closed
 
@@ -20,7 +20,8 @@
 
     It reads also while a request is in flight, so that a client's close is noticed at once. The lock of
     the connection's lifecycle guards `_dropped_bytes` too. `deliver` is given to each exchange, for the event
-    loop's thread to call with the final response.
+    loop's thread to call with the final response. The first bytes count as received `queue_delay` before
+    they are read: their client's time has run since then.
     """
 
     def __init__(
@@ -28,10 +29,12 @@
         context: DownstreamContext,
         lifecycle: ConnectionLifecycle,
         deliver: Callable[[Exchange, Response], None],
+        queue_delay: Duration,
     ) -> None:
         self._context = context
         self._lifecycle = lifecycle
         self._deliver = deliver
+        self._queue_delay = queue_delay
         self._dropped_bytes = 0  # received after our close
 
     def read(self, buffer: memoryview) -> None:
@@ -42,7 +45,7 @@
         """
         lifecycle = self._lifecycle
         while sockets.wait_readable(lifecycle.sock):
-            received_at = self._context.clock.now()
+            received_at = self._context.clock.now() - self._queue_delay
             with lifecycle.lock:
                 try:
                     count = sockets.receive_at_once(lifecycle.sock, buffer)
@@ -50,6 +53,7 @@
                     continue
                 if not count:
                     return
+                self._queue_delay = 0
                 if lifecycle.is_closing:  # only the client's close is waited for
                     self._dropped_bytes += count
                     if self._dropped_bytes > MAX_LINGER_BYTES:
--- a/tests/proxy/test_connection_limit.py
+++ b/tests/proxy/test_connection_limit.py
@@ -114,6 +114,27 @@
             client.sock.close()
 
 
+def test_wait_for_a_slot_is_taken_from_the_time_of_the_request() -> None:
+    """Guards against a final response that comes late by the time that its client has waited for a slot."""
+    delayed_replies = DelayedReplies()
+    with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
+        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
+        for client in clients:
+            client.send(HttpClient.encode_request(timeout_ms=15_000))
+        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        with proxy.connect() as late:
+            sent_at = time.monotonic()
+            late.send(HttpClient.encode_request(timeout_ms=1_000))
+            time.sleep(0.5)
+            clients[0].sock.close()  # its slot goes to the late client, whose request gets no reply either
+            assert late.read_response().status == 503
+            assert time.monotonic() < sent_at + 1.2
+        delayed_replies.may_reply.set()
+        for client in clients[1:]:
+            client.read_response()
+            client.sock.close()
+
+
 def test_flood_of_connections_without_a_request_ends_no_connection_in_use() -> None:
     with running_proxy(limits=FEW_CONNECTIONS, bounds={"first_request_timeout": 60 * 10**9}) as proxy:
         cap = proxy.parts.config.limits.max_client_connections
