Idle connections end while every look at a socket fails: poll tells whether there are bytes

Fix: has_nothing_unread asks poll then, which takes no memory for bytes; only where poll fails as well is the connection left open.

--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -101,22 +101,29 @@
 
 def has_nothing_unread(sock: socket.socket) -> bool:
     """Whether it is known that no received bytes wait to be read."""
-    return peek(sock) in (PeekResult.NO_BYTES, PeekResult.ENDED)
+    result = peek(sock)
+    if result is PeekResult.UNKNOWN:
+        return _polled_events(sock, select.POLLIN) == 0
+    return result in (PeekResult.NO_BYTES, PeekResult.ENDED)
 
 
 def is_closed_by_peer(sock: socket.socket) -> bool:
     """Whether the remote side has ended the connection, with nothing left to read as far as is known."""
     result = peek(sock)
     if result is PeekResult.UNKNOWN:
-        return _is_hung_up(sock)
+        return bool(_polled_events(sock, select.POLLRDHUP))
     return result is PeekResult.ENDED
 
 
-def _is_hung_up(sock: socket.socket) -> bool:
-    """Whether the remote side has ended the connection, by a call that takes no memory for it."""
+def _polled_events(sock: socket.socket, events: int) -> int | None:
+    """Which of the events hold now, by a call that takes no memory for bytes; None where it fails as well."""
     poller = select.poll()
-    poller.register(sock, select.POLLRDHUP)
-    return bool(poller.poll(0))
+    poller.register(sock, events)
+    try:
+        found = poller.poll(0)
+    except OSError:
+        return None
+    return found[0][1] if found else 0
 
 
 def wait_readable(sock: socket.socket) -> bool:
