A fault while a client waits for its slot rejects the client, and drops it no more

Cause: admit guarded the start of a connection alone; the socket was left to the garbage collector. Fix: the client gets 503, the fault is logged as before. test_client_is_rejected_where_the_wait_for_its_slot_raises failed before.

--- a/olivepost/proxy/downstream/connection_admission.py
+++ b/olivepost/proxy/downstream/connection_admission.py
@@ -61,14 +61,14 @@
         `waiting_count` is the number of connections that wait to be accepted behind this one.
         """
         self._queue_delay_s = 0.0
-        if not self._take_free_slot():
-            began_at = time.monotonic()
-            if not self._wait_for_slot(self._slot_timeout_s(1 + waiting_count)):
-                self._reject(sock)
-                return
-            # Before it was accepted it waited behind about as many as wait behind it now.
-            queued_s = min(MAX_SLOT_WAIT_S, waiting_count * self._mean_slot_wait_s)
-            self._queue_delay_s = time.monotonic() - began_at + queued_s
+        try:
+            has_slot = self._take_free_slot() or self._wait_for_slot(waiting_count)
+        except BaseException:
+            self._reject(sock)
+            raise
+        if not has_slot:
+            self._reject(sock)
+            return
         try:
             self._start_connection(sock)
         except BaseException:
@@ -93,7 +93,7 @@
             return max(timeout_s, PATIENT_SLOT_WAIT_S)
         return timeout_s
 
-    def _wait_for_slot(self, timeout_s: float) -> bool:
+    def _wait_for_slot(self, waiting_count: int) -> bool:
         """Takes a slot at the cap; False where there is none in time, or `stopped` is set.
 
         Evicts an idle connection. Where all are in use, responses end their connections meanwhile, so that
@@ -101,6 +101,7 @@
         """
         context = self._context
         context.log.increment("connection_cap_reached")
+        timeout_s = self._slot_timeout_s(1 + waiting_count)
         began_at = time.monotonic()
         remaining_s = timeout_s
         try:
@@ -115,7 +116,10 @@
                 remaining_s = began_at + timeout_s - time.monotonic()
         finally:
             context.is_slot_wanted = False
-            self._mean_slot_wait_s += SLOT_WAIT_STEP * (time.monotonic() - began_at - self._mean_slot_wait_s)
+            waited_s = time.monotonic() - began_at
+            self._mean_slot_wait_s += SLOT_WAIT_STEP * (waited_s - self._mean_slot_wait_s)
+            # Before it was accepted it waited behind about as many as wait behind it now.
+            self._queue_delay_s = waited_s + min(MAX_SLOT_WAIT_S, waiting_count * self._mean_slot_wait_s)
         return False
 
     def _reject(self, sock: socket.socket) -> None:
--- a/tests/proxy/test_connection_limit.py
+++ b/tests/proxy/test_connection_limit.py
@@ -10,6 +10,7 @@
 from examples.toy_server import Coordinator
 from olivepost.proxy.downstream import connection_admission
 from olivepost.proxy.downstream.connection_admission import SLOT_RETRY_INTERVAL_S
+from olivepost.proxy.downstream.eviction import ConnectionEvictor
 from tests.proxy.fakes import (
     DelayedReplies,
     cache_a_is_draining,
@@ -135,6 +136,20 @@
             client.sock.close()
 
 
+def test_client_is_rejected_where_the_wait_for_its_slot_raises(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a client that is dropped without a response for a fault in the eviction of another."""
+    with running_proxy(limits=FEW_CONNECTIONS) as proxy:
+        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
+        for client in clients:
+            assert client.request(timeout_ms=15_000).status == 200
+        monkeypatch.setattr(ConnectionEvictor, "evict_one", None)
+        with proxy.connect() as late:
+            assert late.request(timeout_ms=15_000).status == 503
+        assert proxy.counter("accept_error") == 1
+        for client in clients:
+            client.sock.close()
+
+
 def test_flood_of_connections_without_a_request_ends_no_connection_in_use() -> None:
     with running_proxy(limits=FEW_CONNECTIONS, bounds={"first_request_timeout": 60 * 10**9}) as proxy:
         cap = proxy.parts.config.limits.max_client_connections
