--- a/tests/proxy/test_connection_limit.py
+++ b/tests/proxy/test_connection_limit.py
@@ -19,6 +19,7 @@
 )
 from tests.proxy_harness import (
     HttpClient,
+    ProxyHarness,
     running_proxy,
 )
 
@@ -26,6 +27,15 @@
 FEW_CONNECTIONS = {"sockets": 64, "memory_mb": 64}
 
 
+def clients_with_pending_requests(proxy: ProxyHarness) -> list[HttpClient]:
+    """One client for each connection that there may be, each with a request that has no response yet."""
+    clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
+    for client in clients:
+        client.send(HttpClient.encode_request(timeout_ms=15_000))
+    assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+    return clients
+
+
 def test_at_the_connection_limit_the_longest_idle_is_evicted() -> None:
     with running_proxy(limits={"sockets": 64, "memory_mb": 64}) as proxy:
         cap = proxy.parts.config.limits.max_client_connections
@@ -60,10 +70,7 @@
 def test_at_the_connection_limit_busy_clients_are_waited_for() -> None:
     delayed_replies = DelayedReplies()
     with running_proxy(delayed_replies, limits={"sockets": 64, "memory_mb": 64}) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        clients = clients_with_pending_requests(proxy)
         with proxy.connect() as late:
             late.send(HttpClient.encode_request())
             assert proxy.wait_until(lambda: proxy.counter("connection_cap_reached") == 1)
@@ -77,10 +84,7 @@
 def test_responses_end_connections_only_while_a_client_waits_for_a_slot() -> None:
     delayed_replies = DelayedReplies()
     with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        clients = clients_with_pending_requests(proxy)
         with proxy.connect() as late:
             late.send(HttpClient.encode_request(timeout_ms=15_000))
             assert proxy.wait_until(lambda: proxy.parts.downstream.context.is_slot_wanted)
@@ -94,15 +98,12 @@
 
 
 def test_client_is_rejected_where_no_slot_becomes_free_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against silence: all slots are taken by requests without a response."""
+    """Regression: silence: all slots are taken by requests without a response."""
     monkeypatch.setattr(connection_admission, "MAX_SLOT_WAIT_S", 0.1)
     monkeypatch.setattr(connection_admission, "PATIENT_SLOT_WAIT_S", 0.1)
     delayed_replies = DelayedReplies()
     with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        clients = clients_with_pending_requests(proxy)
         for _ in range(2):
             with proxy.connect() as late:
                 status, headers, _ = late.request(timeout_ms=15_000)
@@ -116,13 +117,10 @@
 
 
 def test_wait_for_a_slot_is_taken_from_the_time_of_the_request() -> None:
-    """Guards against a final response that comes late by the time that its client has waited for a slot."""
+    """Regression: a final response that comes late by the time that its client has waited for a slot."""
     delayed_replies = DelayedReplies()
     with running_proxy(delayed_replies, limits=FEW_CONNECTIONS) as proxy:
-        clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
-        for client in clients:
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-        assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == len(clients))
+        clients = clients_with_pending_requests(proxy)
         with proxy.connect() as late:
             sent_at = time.monotonic()
             late.send(HttpClient.encode_request(timeout_ms=1_000))
@@ -137,7 +135,7 @@
 
 
 def test_client_is_rejected_where_the_wait_for_its_slot_raises(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a client that is dropped without a response for a fault in the eviction of another."""
+    """Regression: a client that is dropped without a response for a fault in the eviction of another."""
     with running_proxy(limits=FEW_CONNECTIONS) as proxy:
         clients = [proxy.connect() for _ in range(proxy.parts.config.limits.max_client_connections)]
         for client in clients:
@@ -163,7 +161,7 @@
 
 
 def test_client_that_writes_its_first_request_slowly_is_not_evicted() -> None:
-    """Guards against a request that is read in part and closed without a response."""
+    """Regression: a request that is read in part and closed without a response."""
     with running_proxy(limits=FEW_CONNECTIONS) as proxy, proxy.connect() as slow:
         request = HttpClient.encode_request(timeout_ms=15_000)
         slow.send(request[:30])
--- a/tests/proxy/test_error_isolation.py
+++ b/tests/proxy/test_error_isolation.py
@@ -35,7 +35,7 @@
 
 
 def test_error_in_a_response_writer_releases_the_body(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against buffers that no response holds any more; `running_proxy` checks that none is in use."""
+    """Regression: buffers that no response holds any more; `running_proxy` checks that none is in use."""
     with running_proxy() as proxy, proxy.connect() as client, proxy.connect() as other:
         with monkeypatch.context() as patched:
             patched.setattr("olivepost.proxy.downstream.response_delivery.encode_response", None)
--- a/tests/proxy/test_shutdown_exit.py
+++ b/tests/proxy/test_shutdown_exit.py
@@ -26,7 +26,7 @@
 def test_log_that_nobody_reads_does_not_delay_the_exit_past_the_kill(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against steps of a shutdown that each wait for a time of their own, one after another."""
+    """Regression: steps of a shutdown that each wait for a time of their own, one after another."""
     kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
     with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
         slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
@@ -49,7 +49,7 @@
 
 @pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
 def test_reloads_do_not_delay_the_exit_past_the_kill() -> None:
-    """Guards against a configuration that is read on the main thread when the end is near."""
+    """Regression: a configuration that is read on the main thread when the end is near."""
     kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
     with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
         slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
@@ -76,7 +76,7 @@
 
 @pytest.mark.usefixtures("short_shutdown")
 def test_repeated_signals_leave_clients_their_time_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a time that is counted in waits, which every signal ends early."""
+    """Regression: a time that is counted in waits, which every signal ends early."""
     monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.5)
     with running_proxy() as proxy, proxy.connect() as idle:
         assert idle.request().status == 200
@@ -94,7 +94,7 @@
 def test_pause_of_the_main_thread_does_not_end_the_wait_for_a_pending_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a process that stood still for longer than clients have to close, and then exits."""
+    """Regression: a process that stood still for longer than clients have to close, and then exits."""
     monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.05)
     monkeypatch.setattr(shutdown, "ACCEPT_FOR", 100 * MS)
     delayed_replies = DelayedReplies()
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -35,7 +35,7 @@
 def test_close_is_noticed_where_the_system_refuses_to_show_received_bytes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against an attempt for a client that has disconnected."""
+    """Regression: an attempt for a client that has disconnected."""
 
     def refuse(*_: object) -> bytes:
         raise OSError(errno.ENOBUFS, os.strerror(errno.ENOBUFS))
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -73,7 +73,7 @@
 
 
 def test_accepts_that_fail_now_and_then_hold_up_no_queue(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a pause that is long for one failure: all that wait to be accepted wait it out."""
+    """Regression: a pause that is long for one failure: all that wait to be accepted wait it out."""
     accept = socket.socket.accept
     counts = itertools.count()
 
@@ -135,7 +135,7 @@
 
 
 def test_peeks_that_fail_for_good_delay_no_other_connection(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a pause for each connection on the threads of shutdown, deadlines and accept."""
+    """Regression: a pause for each connection on the threads of shutdown, deadlines and accept."""
     with running_proxy() as proxy:
         clients = [proxy.connect() for _ in range(30)]
         for client in clients:
@@ -158,7 +158,7 @@
 def test_connection_whose_bytes_cannot_be_looked_at_is_not_closed_over_a_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a request that is lost since the system refuses to show it, by poll as well."""
+    """Regression: a request that is lost since the system refuses to show it, by poll as well."""
     with running_proxy() as proxy, proxy.connect() as client, proxy.connect() as idle:
         assert client.request().status == 200
         assert idle.request().status == 200
@@ -287,7 +287,7 @@
 
 
 def test_reload_waits_for_no_thread_and_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a main thread that handles no signal, and a poll whose events wait, for seconds."""
+    """Regression: a main thread that handles no signal, and a poll whose events wait, for seconds."""
     with running_proxy() as proxy, running_proxy() as other:
         assert proxy.coordinator.wait_for_poll(1)
         host, _, port = other.coordinator.address.rpartition(":")
--- a/tests/shared_store/test_host.py
+++ b/tests/shared_store/test_host.py
@@ -33,7 +33,7 @@
 
 
 def test_start_waits_for_threads(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a process that does not start where the system has no thread for a moment."""
+    """Regression: a process that does not start where the system has no thread for a moment."""
     failures = iter(range(5))
     start = threading.Thread.start
 
--- a/tests/shared_store/test_quota_transfers.py
+++ b/tests/shared_store/test_quota_transfers.py
@@ -164,7 +164,7 @@
 
 
 def test_offers_that_the_router_never_answers_are_dropped_when_they_expire() -> None:
-    """Guards against a proxy that donates nothing any more after some events that failed in its router."""
+    """Regression: a proxy that donates nothing any more after some events that failed in its router."""
     donations = make_donations(make_requests("you"))
     for number in range(MAX_DONATIONS):
         request = request_quota(make_requests(f"other{number}"))
--- a/tests/shared_store/test_reply_shapes.py
+++ b/tests/shared_store/test_reply_shapes.py
@@ -83,7 +83,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_reply_of_any_shape_is_handled(seed: int) -> None:
-    """Guards against a store that replies with too few values, or others than it should."""
+    """Regression: a store that replies with too few values, or others than it should."""
     store = FaultyStore(seed)
     for number in range(STEPS):
         store.step(number)
--- a/tests/soak/options.py
+++ b/tests/soak/options.py
@@ -25,7 +25,7 @@
 SLOW_READERS = (0, 1, 4)
 STALLED_LOG_SHARE = 0.4  # of the seeds that have pressure
 LASTING_SHORTAGE_SHARE = 0.25
-SILENT_STORES = (0, 0, 4)
+UNRESPONSIVE_STORES = (0, 0, 4)
 MIN_STORE_MEMORY_MB = 96  # the shared store's libraries take memory of their own
 SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 
@@ -71,9 +71,9 @@
     crowd_factor: int = 0
     slow_readers: int = 0
     persistent_clients: int = 0  # that use a connection until it is closed, whatever a response announced
-    has_stalled_log: bool = False  # nobody reads the log from shortly before SIGTERM on
+    has_stalled_log: bool = False  # the log is not read from shortly before SIGTERM on
     has_lasting_shortage: bool = False  # peeks at a socket fail from some time on
-    silent_stores: int = 0
+    unresponsive_stores: int = 0
     has_signal_series: bool = False  # SIGTERM, SIGHUP and SIGINT for as long as the process lives
 
     @classmethod
@@ -87,7 +87,7 @@
         slow_readers = random_source.choice(SLOW_READERS)
         has_stalled_log = random_source.random() < STALLED_LOG_SHARE
         has_lasting_shortage = random_source.random() < LASTING_SHORTAGE_SHARE
-        silent_stores = random_source.choice(SILENT_STORES)
+        unresponsive_stores = random_source.choice(UNRESPONSIVE_STORES)
         return cls(
             max_sockets=sockets if crowd_factor else MAX_SOCKETS,
             crowd_factor=crowd_factor,
@@ -95,7 +95,7 @@
             persistent_clients=2,
             has_stalled_log=has_stalled_log,
             has_lasting_shortage=has_lasting_shortage and not options.is_killed,
-            silent_stores=silent_stores if options.memory_mb >= MIN_STORE_MEMORY_MB else 0,
+            unresponsive_stores=unresponsive_stores if options.memory_mb >= MIN_STORE_MEMORY_MB else 0,
             has_signal_series=True,
         )
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,7 +30,7 @@
 )
 from tests.soak.oracle import ClientRequest, Oracle, Outcome
 from tests.soak.proxy_process import KILOBYTE, ProxyProcess
-from tests.soak.silent_store import SilentStores
+from tests.soak.unresponsive_store import UnresponsiveStores
 
 PLAY_S = 8.0
 KILL_AFTER_S = 3.0 + 0.7  # after SIGTERM, at the earliest: the longest deadline, and the platform's margin
@@ -62,7 +62,7 @@
         self._folder = folder
         self._oracle = Oracle(NON_IDEMPOTENT_CLASS)
         self._environment = SoakEnvironment(seed, self._oracle)
-        self._stores = SilentStores(self.pressure.silent_stores, folder)
+        self._stores = UnresponsiveStores(self.pressure.unresponsive_stores, folder)
         self._proxy = self._start_proxy("127.0.0.1:0")
         self._is_over = threading.Event()
 
--- a/tests/soak/silent_store.py
+++ b/tests/soak/unresponsive_store.py
@@ -8,8 +8,8 @@
 from tests.closed_at_exit import ClosedAtExit
 
 
-class SilentStores(ClosedAtExit):
-    """Listeners whose connections nobody reads, and the operator's file that names them."""
+class UnresponsiveStores(ClosedAtExit):
+    """Listeners whose connections are not read, and the operator's file that names them."""
 
     def __init__(self, count: int, folder: Path) -> None:
         self._listeners = [listen(0) for _ in range(count)]
