A proxy without standard error starts, and SIGUSR1 does not end it

Found by reading. Fix: the signal is ignored then. The case 'closed' of the new test failed without the handler.

--- a/olivepost/proxy/server.py
+++ b/olivepost/proxy/server.py
@@ -167,7 +167,7 @@
     operator: OperatorSettings | None,
 ) -> int:
     """Runs a proxy until SIGTERM or SIGINT; SIGHUP reloads its configuration. Returns the exit code."""
-    faulthandler.register(signal.SIGUSR1)  # writes to standard error where each thread is
+    register_thread_dump()
     threading.stack_size(config.limits.stack_bytes)
     try:
         proxy = ProxyServer(config, STDOUT, operator, source, signals.wait)
@@ -185,6 +185,14 @@
     return EXIT_OK
 
 
+def register_thread_dump() -> None:
+    """Has SIGUSR1 write to standard error where each thread is; without standard error it has no effect."""
+    try:
+        faulthandler.register(signal.SIGUSR1)
+    except (RuntimeError, OSError, ValueError):
+        signal.signal(signal.SIGUSR1, signal.SIG_IGN)  # else it would end the process
+
+
 def _tune_garbage_collection() -> None:
     """Collects the garbage of the start, excludes surviving objects from collection, and makes it rarer."""
     gc.collect()
--- a/tests/proxy/test_stall_watch.py
+++ b/tests/proxy/test_stall_watch.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import os
+import subprocess
+import sys
 import threading
 from typing import Any
 
@@ -69,6 +71,19 @@
     log.close()
 
 
+@pytest.mark.parametrize("standard_error", ["open", "closed"])
+def test_signal_for_a_dump_of_all_threads_does_not_end_the_process(standard_error: str) -> None:
+    """Regression: a process that does not start, or ends by the signal, where it has no standard error."""
+    close = "os.close(2); sys.stderr = None" if standard_error == "closed" else "pass"
+    program = (
+        f"import os, signal, sys; {close}; from olivepost.proxy.server import register_thread_dump;"
+        "register_thread_dump(); os.kill(os.getpid(), signal.SIGUSR1)"
+    )
+    result = subprocess.run([sys.executable, "-c", program], capture_output=True, check=False)
+    assert result.returncode == 0
+    assert (b"most recent call first" in result.stderr) == (standard_error == "open")
+
+
 @pytest.mark.parametrize("thread", ["event-loop", "main"])
 def test_stalled_thread_of_a_proxy_is_reported(thread: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(stall_watch, "STALLED_AFTER", 100 * MILLISECOND)
