Test of a fault in the wait for a slot waits for the log's counter

Cause, read in the code: the client gets its 503 before the exception leaves admit and is counted, so the test looked too early. It waits for the counter now; that it becomes exactly 1 is asserted as before.

--- a/tests/proxy/test_connection_limit.py
+++ b/tests/proxy/test_connection_limit.py
@@ -143,7 +143,7 @@
         monkeypatch.setattr(ConnectionEvictor, "evict_one", None)
         with proxy.connect() as late:
             assert late.request(timeout_ms=15_000).status == 503
-        assert proxy.counter("accept_error") == 1
+        assert proxy.wait_until(lambda: proxy.counter("accept_error") == 1)  # logged after the response
         for client in clients:
             client.sock.close()
 
