The accept queue's length is asked at the cap alone

Found by reading the change again: each accepted connection paid a call to the system for a number that only a client at the connection cap needs. The listener hands over the question in place of the number. Behaviour is the same; test_connection_limit.py passes.

--- a/olivepost/proxy/downstream/connection_admission.py
+++ b/olivepost/proxy/downstream/connection_admission.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 
 from olivepost.proxy import sockets
 from olivepost.proxy.downstream.connection import DownstreamConnection
@@ -55,14 +56,14 @@
         self._mean_slot_wait_s = 0.0
         self._queue_delay_s = 0.0
 
-    def admit(self, sock: socket.socket, waiting_count: int) -> None:
+    def admit(self, sock: socket.socket, count_waiting: Callable[[], int]) -> None:
         """Starts a connection once there is a slot; rejects it where there is none in time.
 
-        `waiting_count` is the number of connections that wait to be accepted behind this one.
+        `count_waiting` says how many connections wait to be accepted behind this one; it is asked at the cap.
         """
         self._queue_delay_s = 0.0
         try:
-            has_slot = self._take_free_slot() or self._wait_for_slot(waiting_count)
+            has_slot = self._take_free_slot() or self._wait_for_slot(count_waiting())
         except BaseException:
             self._reject(sock)
             raise
--- a/olivepost/proxy/downstream/listener.py
+++ b/olivepost/proxy/downstream/listener.py
@@ -26,15 +26,17 @@
 BIND_TIMEOUT_S = 8.0  # for the address to become free, at a start right after a kill
 BIND_RETRY_PAUSE_S = 0.05  # between two attempts to bind
 
+Admit = Callable[[socket.socket, Callable[[], int]], None]
+
 
 class Listener:
-    """Accepts connections, and gives each socket to `admit`, which may wait, with the number behind it.
+    """Accepts connections, and gives each socket to `admit`, which may wait and ask how many wait behind it.
 
     The main thread calls `listen` once and then `stop`; `admit` runs on the accept thread, which closes the
     listening socket.
     """
 
-    def __init__(self, log: EventLog, backlog: int, admit: Callable[[socket.socket, int], None]) -> None:
+    def __init__(self, log: EventLog, backlog: int, admit: Admit) -> None:
         self._log = log
         self._backlog = backlog
         self._admit = admit
@@ -83,6 +85,7 @@
 
     def _accept(self, listener: socket.socket) -> None:
         log = self._log
+        count_waiting = partial(sockets.accept_queue_length, listener)
         while True:
             try:
                 sock, _ = listener.accept()
@@ -95,7 +98,7 @@
                 continue
             self._accept_pause_s = MIN_ACCEPT_PAUSE_S
             try:
-                self._admit(sock, sockets.accept_queue_length(listener))
+                self._admit(sock, count_waiting)
             except Exception:  # the top of a thread: no connection's fault may end the listener
                 log.exception("accept_error")
         listener.close()
