The soak's oracle checks draining for a crowd's requests, too

Found by reading the change again: arrivals of a crowd's requests were passed over before the check of draining, which needs no record of the client. The new test of the oracle failed before.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -200,16 +200,16 @@
     def _endpoint_violations(self) -> list[str]:
         found = []
         for arrival in self.arrivals:
-            request = self.requests.get(arrival.request_id)
+            found += self._violations_of_draining(arrival)
             if arrival.request_id.startswith(self.load_id_prefix):
                 continue  # the load's own process keeps its requests, and reports the late ones
+            request = self.requests.get(arrival.request_id)
             if request is None or request.name != arrival.name:
                 found.append(f"{arrival.label}: no client sent it")
                 continue
             if request.is_after_announced_close:
                 found.append(f"{arrival.label}: sent on a connection whose end was announced, and forwarded")
             found += self._violation_of_disconnect(arrival, request)
-            found += self._violations_of_draining(arrival)
         return found
 
     def _violation_of_disconnect(self, arrival: Arrival, request: ClientRequest) -> list[str]:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -77,3 +77,11 @@
     oracle.add_arrival(Arrival("a", "c0", "c0", "n", 10.1))
     (found,) = oracle.violations()
     assert "whose end was announced" in found
+
+
+def test_oracle_checks_draining_for_requests_of_a_load_process_too() -> None:
+    oracle = Oracle("order", load_id_prefix="load")
+    oracle.drained_at["c0"] = 10.0
+    oracle.add_arrival(Arrival("load1", "c0", "c0", "n", 10.9))
+    (found,) = oracle.violations()
+    assert "was drained" in found
