Tests of the exit share their slow reader; the soak makes its configuration in one place

Found by reading the change again: two tests of test_shutdown_exit.py began alike, and run.py built the same configuration twice. No assert changed.

--- a/tests/proxy/test_shutdown_exit.py
+++ b/tests/proxy/test_shutdown_exit.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -16,21 +18,34 @@
 from tests.proxy_harness import (
     WAIT_TIMEOUT_S,
     HttpClient,
+    ProxyHarness,
     reply_with_large_body,
     request_with_small_receive_buffer,
     running_proxy,
 )
 
 
+def kill_after_s() -> float:
+    """When the platform kills, from SIGTERM on, by the schedule of the test."""
+    return (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
+
+
+@contextmanager
+def proxy_with_slow_reader() -> Iterator[ProxyHarness]:
+    """A proxy whose one client does not read its response, so that a shutdown takes until its exit."""
+    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
+        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
+        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+        yield proxy
+        slow_client.close()
+
+
 @pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
 def test_log_that_nobody_reads_does_not_delay_the_exit_past_the_kill(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Regression: steps of a shutdown that each wait for a time of their own, one after another."""
-    kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
-    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
-        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
-        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+    with proxy_with_slow_reader() as proxy:
         may_write = threading.Event()
 
         def write_late(_log: EventLog, _line: bytes) -> None:
@@ -39,10 +54,9 @@
         monkeypatch.setattr(EventLog, "_write_line", write_late)
         ending = threading.Thread(target=proxy.server.shut_down)
         ending.start()
-        ending.join(kill_after_s)
+        ending.join(kill_after_s())
         is_late = ending.is_alive()
         may_write.set()
-        slow_client.close()
         ending.join(WAIT_TIMEOUT_S)
         assert not is_late
 
@@ -50,10 +64,7 @@
 @pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
 def test_reloads_do_not_delay_the_exit_past_the_kill() -> None:
     """Regression: a configuration that is read on the main thread when the end is near."""
-    kill_after_s = (shutdown.MAX_DEADLINE + shutdown.ACCEPT_FOR) / SECOND
-    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
-        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
-        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+    with proxy_with_slow_reader() as proxy:
         config = proxy.parts.config
 
         def read_slowly() -> ProxyConfig:
@@ -67,9 +78,8 @@
         proxy.server._source = ConfigurationSource(read_slowly, lambda: None)
         proxy.server._wait_for_signal = receive_reload
         ending, _ = start_shutdown(proxy)
-        ending.join(kill_after_s)
+        ending.join(kill_after_s())
         is_late = ending.is_alive()
-        slow_client.close()
         ending.join(WAIT_TIMEOUT_S)
         assert not is_late
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 import time
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from olivepost.config import read_config
 from tests.soak.clients import NAMES, SoakClients
@@ -32,6 +33,7 @@
 from tests.soak.proxy_process import KILOBYTE, ProxyProcess
 from tests.soak.unresponsive_store import UnresponsiveStores
 
+ANY_PORT = "127.0.0.1:0"  # of the system's choice
 PLAY_S = 8.0
 KILL_AFTER_S = 3.0 + 0.7  # after SIGTERM, at the earliest: the longest deadline, and the platform's margin
 KILL_MARGIN_S = 0.04  # before that, for the test to see the end
@@ -63,7 +65,7 @@
         self._oracle = Oracle(NON_IDEMPOTENT_CLASS)
         self._environment = SoakEnvironment(seed, self._oracle)
         self._stores = UnresponsiveStores(self.pressure.unresponsive_stores, folder)
-        self._proxy = self._start_proxy("127.0.0.1:0")
+        self._proxy = self._start_proxy(ANY_PORT)
         self._is_over = threading.Event()
 
     def play(self) -> list[str]:
@@ -100,12 +102,9 @@
 
     def _start_proxy(self, listen: str) -> ProxyProcess:
         began_at = time.monotonic()
-        config = soak_config(
-            self._environment, self.options.memory_mb, listen, max_sockets=self.pressure.max_sockets
-        )
         variables = self.options.variables(self._seed) | self.pressure.variables() | self._stores.variables
         proxy = ProxyProcess(
-            config,
+            self._config(listen),
             self._folder,
             variables,
             preload="tests.soak.faulty_calls",
@@ -117,14 +116,17 @@
             self._oracle.record_fault(f"the proxy took {start_s:.1f} s to start")
         return proxy
 
+    def _config(self, listen: str) -> dict[str, Any]:
+        return soak_config(
+            self._environment, self.options.memory_mb, listen, max_sockets=self.pressure.max_sockets
+        )
+
     def _start_crowd(self) -> LoadProcess | None:
         """More clients than the proxy may have connections, in a process of their own."""
         if not self.pressure.crowd_factor:
             return None
-        config = soak_config(
-            self._environment, self.options.memory_mb, "127.0.0.1:0", max_sockets=self.pressure.max_sockets
-        )
-        clients = self.pressure.crowd_factor * read_config(config, {}).limits.max_client_connections
+        limits = read_config(self._config(ANY_PORT), {}).limits
+        clients = self.pressure.crowd_factor * limits.max_client_connections
         options = LoadOptions(
             seed=self._seed + CROWD_SEED_SHIFT,
             duration_s=3 * PLAY_S,
