Test of a fault in a slow writer lets the slow writer start before its client reads

Reproduced beside 14 busy processes, with the counters printed: the client, in the same process, read the whole response (240,054 bytes, 'served' 1, no slow client) before the first write had ended, so no slow writer was needed and no fault came.

--- a/tests/proxy/test_error_isolation.py
+++ b/tests/proxy/test_error_isolation.py
@@ -57,6 +57,8 @@
     monkeypatch.setattr(sockets, "send_buffers", send_with_fault)
     with running_proxy(reply_with_large_body) as proxy:
         sock = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
+        # A client that reads before would take all of it, and no slow writer would be needed.
+        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
         while sock.recv(65_536):
             pass
         assert proxy.wait_until(lambda: proxy.counter("response_writer_error") == 1)
