--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,7 +21,9 @@
 OBJECTS = 8
 REQUESTS_PER_S = 40.0
 QUIET_S = 4.0  # before the purge
-AFTER_S = 6.0  # after it
+AFTER_S = 11.0  # after it
+DRAIN_AFTER_S = 1.0  # from the purge to the drain of one cache, which is looked at beside the purge
+DRAIN_BOUND_S = 7.55  # told "7 s later at the latest", a grace of 500 ms, and 50 ms more on sockets
 DROPPED_AFTER_S = 5.0  # "all older copies are dropped within 6 s"
 # The front asks for polls of 1 s; what it was not told counts as told 2 s after the end of that wait. The
 # grace of a purge is 300 ms, and each time limit is 50 ms longer on sockets.
@@ -115,6 +117,7 @@
     origin: Origin
     record: rig.Record
     copies: dict[str, Copy] = field(default_factory=dict)
+    asked_at: list[float] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def handle(self, command: rig.Command) -> None:
@@ -122,6 +125,7 @@
         fields = command.fields
         name = f"{fields['name']}.{fields['piece']}"
         with self.lock:
+            self.asked_at.append(time.time())
             copy = self.usable_copy(name, int(fields.get("within", "0")))
         why = "warm"
         if copy is None:
@@ -208,7 +212,8 @@
     caches = [Cache(f"cache-{number}", origin, record) for number in range(3)]
     for cache in caches:
         cache.copies = {name: Copy(1, issued_ms) for name in names}
-    servers = [rig.LineServer(cache.name, cache.handle).entry("standard", "edge-1") for cache in caches]
+    listeners = [rig.LineServer(cache.name, cache.handle) for cache in caches]
+    servers = [listener.entry("standard", "edge-1") for listener in listeners]
     servers.append(rig.LineServer("hub-0", Cache("hub-0", origin, record).handle).entry("parent", "north"))
     servers.append(
         rig.LineServer("library", Cache("library", origin, record).handle).entry("origin", "north")
@@ -223,7 +228,13 @@
         if load.served == 0:
             raise rig.CannotRunError("nothing was served before the purge")
         purge(coordinator, origin, record)
-        load.play(AFTER_S)
+        load.play(DRAIN_AFTER_S)
+        drained = listeners[2].entry("standard", "edge-1", state="terminating")
+        drained_at = time.time()
+        coordinator.add(endpoints={"version": 2, "full": False, "servers": [drained]})
+        record.line("coordinator: cache-2 drains")
+        load.play(AFTER_S - DRAIN_AFTER_S)
+        note_drain(caches[2], drained_at, record)
         polls = [line for line in front.log_text().splitlines() if "discovery" in line]
         record.line(f"the front's log lines on discovery: {polls[:3]}")
     finally:
@@ -248,6 +259,16 @@
     record.line(f"coordinator: {count} of {GROUPS} groups purged, among them {GROUP}; version 2 is out")
 
 
+def note_drain(cache: Cache, drained_at: float, record: rig.Record) -> None:
+    """Records what came to the draining cache; the exit code goes by the purge alone."""
+    since = [at - drained_at for at in cache.asked_at if at > drained_at]
+    late = [at for at in since if at > DRAIN_BOUND_S]
+    record.line(
+        f"{cache.name}: {len(since)} requests since its drain was in the coordinator, the last"
+        f" {max(since, default=0.0):.3f} s after it; {len(late)} of them over {DRAIN_BOUND_S} s after it"
+    )
+
+
 def judge(load: Load, record: rig.Record) -> int:
     """Returns the exit code: broken if a request sent after the bound was answered from a purged copy."""
     bound_s = TOLD_AFTER_S + GRACE_S
