Review: whatever keeps a case from its end gives exit code 2

A record that could not be written ended a script with 1, which says that the rule was broken, and a second signal could cut the end of the processes short. Both give 2 now, and leave no process.

--- a/review/rig.py
+++ b/review/rig.py
@@ -341,24 +341,39 @@
 
 
 def run_case(case: Callable[[Path, Record], int], folder: Path) -> int:
-    """Runs a case in a temporary folder, under a limit of time, and returns the exit code of its script."""
-    record = Record(folder)
-    temporary = Path(tempfile.mkdtemp(prefix="review-"))
+    """Runs a case under a limit of time and returns the exit code of its script.
+
+    Whatever keeps the case from its end, be it an error or a signal from outside, gives `CANNOT_RUN`.
+    """
+    numbers = (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
     def give_up(_number: int, _frame: object) -> None:
+        for number in numbers:  # nothing interrupts the end of the processes that the case started
+            signal.signal(number, signal.SIG_IGN)
         raise CannotRunError("the limit of time was reached, or the case was ended from outside")
 
-    signal.signal(signal.SIGALRM, give_up)
-    signal.signal(signal.SIGTERM, give_up)
+    for number in numbers:
+        signal.signal(number, give_up)
     signal.alarm(RUN_LIMIT_S)
     try:
-        code = case(temporary, record)
+        code = _play(case, folder)
     except Exception as error:  # noqa: BLE001 - an error of the case says nothing about the rule
-        record.line(f"can't run: {type(error).__name__}: {error}")
+        sys.stdout.write(f"{type(error).__name__}: {error}\n")
         code = CANNOT_RUN
+    sys.stdout.write(f"exit code {code}: {('the rule held', 'the rule was broken', 'could not run')[code]}\n")
+    return code
+
+
+def _play(case: Callable[[Path, Record], int], folder: Path) -> int:
+    """Runs a case in a temporary folder and records its exit code, or the error that ended it."""
+    record = Record(folder)
+    temporary = Path(tempfile.mkdtemp(prefix="review-"))
+    try:
+        code = case(temporary, record)
+        record.line(f"exit code {code}")
+    except Exception as error:
+        record.line(f"can't run: {type(error).__name__}: {error}")
+        raise
     finally:
-        signal.alarm(0)
         shutil.rmtree(temporary, ignore_errors=True)
-    record.line(f"exit code {code}")
-    sys.stdout.write(f"exit code {code}: {('the rule held', 'the rule was broken', 'could not run')[code]}\n")
     return code
