Reject a request with a key that may have run only if its key outlasts the client

What callers saw: a write with an idempotency key ran and its answer was lost. Near the client's deadline the proxy answered 503 with X-Come-Back-Ms. The client came back as told, the key was forgotten by then, and the write ran a second time.

Cause: is_client_retry_harmless called every repeat of a class with a key and the scope "all" harmless and left out the idempotency window. The proxy's own retries heed the window (latest_start). A shorter X-Come-Back-Ms would not do: it is advice, some clients ignore it, and none is told a latest time.

Change: a request that may have been executed is rejected only if the key is remembered until the client's last possible retry. The window counts from the first attempt that may have been executed; the class's deadline, counted from the arrival, limits the client's wait over all tries. Any other such request fails at once. Requests that no endpoint can have executed are still rejected.

The invariant checker of the router now expects a rejection exactly where a repeat is harmless; before, it only refused some rejections.

--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -62,7 +62,7 @@
         # The timeout is capped: a request may state a longer timeout than clients of its class ever wait.
         timeout = min(request.timeout, request_class.deadline)
         pending = PendingRequest(
-            request, request_class, name, now + timeout, ranked.rank, ranked.name_remaining
+            request, request_class, name, now, now + timeout, ranked.rank, ranked.name_remaining
         )
         self.pending[request.id] = pending
         self._set_deadline_timer(pending, timeout)
--- a/olivepost/routing/retries.py
+++ b/olivepost/routing/retries.py
@@ -108,7 +108,7 @@
     request_class = pending.request_class
     if not pending.executed or request_class.idempotency is not api.Idempotency.WITH_KEY:
         return None
-    window_end = pending.executed[0].sent_at + request_class.idempotency_window
+    window_end = first_sent_at(pending) + request_class.idempotency_window
     return window_end - state.settings.deadline_margin
 
 
@@ -135,12 +135,38 @@
 
 
 def is_client_retry_harmless(pending: PendingRequest) -> bool:
-    """Whether the client may repeat the request: no endpoint has it, or the repeat has no second effect."""
+    """Whether the client may repeat the request at any time: no endpoint has it, or no repeat has an effect.
+
+    The proxy can advise a client to wait, but it can't make a client return soon. A repeat of a request that
+    may have been executed must therefore be dropped for as long as the client can send it.
+    """
     request_class = pending.request_class
     if request_class.idempotency is api.Idempotency.IDEMPOTENT or not (pending.executed or pending.in_flight):
         return True
-    is_deduplicated = request_class.idempotency is api.Idempotency.WITH_KEY
-    return is_deduplicated and request_class.deduplication_scope is api.DeduplicationScope.ALL
+    if request_class.idempotency is api.Idempotency.NOT_IDEMPOTENT:
+        return False
+    if request_class.deduplication_scope is not api.DeduplicationScope.ALL:
+        return False
+    return first_sent_at(pending) + request_class.idempotency_window >= latest_client_retry(pending)
+
+
+def first_sent_at(pending: PendingRequest) -> Instant:
+    """Returns the time of the first attempt that may have been executed or may still be.
+
+    The request must have such an attempt. The idempotency window begins at this time at the earliest.
+    """
+    executed = [attempt.sent_at for attempt in pending.executed]
+    in_flight = [attempt.sent_at for attempt in pending.in_flight.values()]
+    return min(executed + in_flight)
+
+
+def latest_client_retry(pending: PendingRequest) -> Instant:
+    """Returns the latest time at which the client may still send the request again.
+
+    The deadline of a class limits a client's wait for all tries together, and the client sent its first try
+    before the request arrived.
+    """
+    return pending.arrived_at + pending.request_class.deadline
 
 
 def random_retry_after(state: RoutingState) -> Duration | None:
--- a/olivepost/routing_state/pending_request.py
+++ b/olivepost/routing_state/pending_request.py
@@ -82,6 +82,7 @@
     request: api.Request
     request_class: api.ClassSettings
     name: str  # the name under which caches store the requested part of the object
+    arrived_at: Instant
     deadline: Instant
     rank: int  # the rank with which caches store the response; caches don't store one of rank 0
     # The lifetime that the name had left when the request arrived, or None if the name was unknown or the
--- a/tests/routing/invariant_checker.py
+++ b/tests/routing/invariant_checker.py
@@ -1,7 +1,8 @@
 """A driver that checks the routing invariants on each action, independently of the router's own state.
 
 - The deadline invariant: each request gets one final response before its deadline.
-- The idempotency invariant: no request that is not idempotent is executed twice.
+- The idempotency invariant: no request that is not idempotent is executed twice, by a retry of the proxy or
+  by a client that repeats a rejected request.
 - The draining invariant: no attempt goes to an endpoint that is draining or removed.
 - The slow start invariant: an endpoint that is warming up gets no more work than its budget.
 - The invalidation invariant: no attempt allows a response that is older than an invalidation.
@@ -23,6 +24,8 @@
         deduplication_scope=api.DeduplicationScope.CELL,
         idempotency_window=SECOND,
     ),
+    make_class("with-short-lived-key", idempotency=api.Idempotency.WITH_KEY, idempotency_window=2_500 * MS),
+    make_class("with-lasting-key", idempotency=api.Idempotency.WITH_KEY, idempotency_window=3 * SECOND),
     make_class("not-idempotent", idempotency=api.Idempotency.NOT_IDEMPOTENT, is_uncacheable=True),
 )
 CELLS = {"a:1": 1, "b:1": 1, "c:1": 2, "d:1": 2}
@@ -39,13 +42,20 @@
     """A request with its deadline, its attempts and whether it is over."""
 
     request: api.Request
-    deadline: Instant
+    arrived_at: Instant
     attempt_count: int = 0
     in_flight: dict[int, api.ForwardAttempt] = field(default_factory=dict)  # attempts by number
     # End time and cache of each ended attempt that may have been executed.
     executed: list[tuple[Instant, str]] = field(default_factory=list)
+    # Time at which each attempt was sent that is in flight or may have been executed, by number.
+    sent_at: dict[int, Instant] = field(default_factory=dict)
     is_over: bool = False
 
+    @property
+    def deadline(self) -> Instant:
+        """Returns the latest time at which the request may get its final response."""
+        return self.arrived_at + self.request.timeout
+
 
 @dataclass(frozen=True)
 class TrackedInvalidation:
@@ -104,7 +114,7 @@
 
     def track_request(self, request: api.Request) -> None:
         """Records a new request and passes it to the router."""
-        self.requests[request.id] = TrackedRequest(request, self.now + request.timeout)
+        self.requests[request.id] = TrackedRequest(request, self.now)
         self.handle(request)
 
     def track_outcome(
@@ -113,7 +123,9 @@
         """Passes an attempt's outcome to the router; if the outcome is a response, the request is over."""
         tracked = self.requests[request_id]
         attempt = tracked.in_flight.pop(number)
-        if status not in api.NOT_EXECUTED:
+        if status in api.NOT_EXECUTED:
+            del tracked.sent_at[number]
+        else:
             tracked.executed.append((self.now, attempt.cache))
         is_final = status is api.AttemptStatus.OK
         if is_final:
@@ -174,12 +186,21 @@
         tracked = self.requests[action.request_id]
         assert not tracked.is_over
         assert self.now <= tracked.deadline
-        if isinstance(action, api.Reject):
-            request_class = self.settings.classes[tracked.request.class_name]
-            may_be_executed = tracked.executed or tracked.in_flight
-            assert request_class.idempotency is api.Idempotency.IDEMPOTENT or not may_be_executed
+        assert isinstance(action, api.Reject) == self._is_client_retry_harmless(tracked)
         tracked.is_over = True
 
+    def _is_client_retry_harmless(self, tracked: TrackedRequest) -> bool:
+        """Whether a repeat has no second effect, even if the client sends it at the end of its total wait."""
+        request_class = self.settings.classes[tracked.request.class_name]
+        if request_class.idempotency is api.Idempotency.IDEMPOTENT or not tracked.sent_at:
+            return True
+        if request_class.idempotency is api.Idempotency.NOT_IDEMPOTENT:
+            return False
+        if request_class.deduplication_scope is not api.DeduplicationScope.ALL:
+            return False
+        window_end = min(tracked.sent_at.values()) + request_class.idempotency_window
+        return tracked.arrived_at + request_class.deadline <= window_end
+
     def _check_attempt(self, attempt: api.ForwardAttempt) -> None:
         tracked = self.requests[attempt.request_id]
         assert not tracked.is_over
@@ -189,6 +210,7 @@
             assert endpoint_id == ORIGIN.id or self.states[endpoint_id] is api.EndpointState.READY
             self._check_slow_start(endpoint_id, tracked.request)
         tracked.in_flight[tracked.attempt_count] = attempt
+        tracked.sent_at[tracked.attempt_count] = self.now
         tracked.attempt_count += 1
         assert tracked.attempt_count <= self.settings.max_attempts
 
@@ -199,7 +221,8 @@
             assert not tracked.executed
         if request_class.idempotency is api.Idempotency.WITH_KEY and tracked.executed:
             executed_at, first_cache = tracked.executed[0]
-            assert CELLS.get(attempt.cache) == CELLS.get(first_cache) is not None
+            if request_class.deduplication_scope is api.DeduplicationScope.CELL:
+                assert CELLS.get(attempt.cache) == CELLS.get(first_cache) is not None
             assert self.now - executed_at < request_class.idempotency_window + LONGEST_RETRY_DELAY
 
     def _check_age(self, request: api.Request, attempt: api.ForwardAttempt) -> None:
--- a/tests/routing/test_levels.py
+++ b/tests/routing/test_levels.py
@@ -137,7 +137,7 @@
 
     def is_too_expensive(size_kb: float) -> bool:
         request = api.Request("1", "image", "x", SECOND, size_kb=size_kb)
-        pending = PendingRequest(request, state.settings.classes["image"], "x.0", 0, RANK_LOW, None)
+        pending = PendingRequest(request, state.settings.classes["image"], "x.0", 0, 0, RANK_LOW, None)
         cost = admission.record_cost(state, pending, state.arrivals)
         return admission.is_too_expensive(state, pending, state.arrivals, cost)
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -1,7 +1,12 @@
 """Tests of the retry budget, of idempotency, and of the window in which a retry may start."""
 
+from typing import Any
+
+import pytest
+
 from olivepost import interface as api
 from olivepost.interface import AttemptStatus
+from olivepost.units import Duration
 from tests.router_harness import (
     MS,
     ORIGIN,
@@ -78,3 +83,58 @@
     (retry,) = forwarded_attempts(driver.complete_attempt("r", 0, AttemptStatus.CONNECTION_LOST))
 
     assert retry.start_before == sent_at + SECOND - driver.router.settings.deadline_margin
+
+
+def driver_with_key(window: Duration, **changes: Any) -> RouterDriver:
+    """Returns a driver for requests with a key. All caches drop repeats, and clients wait 3 s in all."""
+    request_class = make_class(
+        idempotency=api.Idempotency.WITH_KEY, idempotency_window=window, deadline=3 * SECOND
+    )
+    return RouterDriver(make_settings(request_class, **changes))
+
+
+@pytest.mark.parametrize(
+    ("window", "response"),
+    [(2 * SECOND, api.Fail), (3 * SECOND - 1, api.Fail), (3 * SECOND, api.Reject), (5 * SECOND, api.Reject)],
+)
+@pytest.mark.parametrize("end", ["deadline", "shutdown", "lost connection"])
+def test_possibly_executed_request_with_key_is_rejected_only_if_its_window_outlasts_the_client(
+    window: Duration, response: type[api.Action], end: str
+) -> None:
+    """Guards against a rejection after which the client's repeat is executed, since its key is forgotten."""
+    driver = driver_with_key(window, max_attempts=1)
+    assert forwarded_attempts(driver.request("r", timeout=1_500 * MS))
+    driver.advance(100 * MS)
+
+    match end:
+        case "deadline":
+            actions = driver.advance(1_400 * MS)
+        case "shutdown":
+            actions = driver.handle(api.Shutdown())
+        case _:
+            actions = driver.complete_attempt("r", 0, AttemptStatus.CONNECTION_LOST)
+
+    assert [type(action) for action in final_responses(actions)] == [response]
+
+
+def test_request_with_key_is_rejected_if_no_attempt_can_have_been_executed() -> None:
+    driver = driver_with_key(2 * SECOND, max_attempts=2)
+    driver.request("r")
+    driver.advance(SECOND)
+    assert forwarded_attempts(driver.complete_attempt("r", 0, AttemptStatus.REJECTED))
+
+    actions = driver.complete_attempt("r", 1, AttemptStatus.CONNECT_FAILED)
+
+    assert [type(action) for action in final_responses(actions)] == [api.Reject]
+
+
+def test_window_of_a_key_begins_with_the_first_attempt_that_may_have_been_executed() -> None:
+    """Guards against a failure where a rejection is harmless: the key is remembered until 3.1 s."""
+    driver = driver_with_key(2 * SECOND, max_attempts=2)
+    driver.request("r")
+    driver.advance(1_100 * MS)
+    driver.complete_attempt("r", 0, AttemptStatus.CONNECT_FAILED)
+
+    actions = driver.complete_attempt("r", 1, AttemptStatus.CONNECTION_LOST)
+
+    assert [type(action) for action in final_responses(actions)] == [api.Reject]
