Reject a request whose attempt was still waiting for its connection at the end

What callers saw: a write of a class that is not idempotent, or whose key counts in one zone or cell only, got 502 at its deadline though no cache had got one byte of it: its attempt was waiting for a connection. A client repeats such a write only after 503, so it lost its next try.

Cause: the router counts an attempt as possibly executed from ForwardAttempt on, and the connection's knowledge that nothing was written was not asked.

Change: where the only doubt is an attempt in flight, the router emits RejectIfUnsent. The proxy withdraws the attempt under its connection's lock, the same step by which drains and invalidations withdraw attempts, and rejects if that succeeded for every attempt in flight; an attempt that was withdrawn is never written. Otherwise the request fails. The simulator's wire does not say whether an attempt was written, so its adapter sends ReportFailure.

test_shutdown_responds_to_all_pending_requests_at_once now names the response of each request, where it compared the set of types.

--- a/olivepost/interface/actions.py
+++ b/olivepost/interface/actions.py
@@ -70,6 +70,23 @@
     reason: GiveUpReason = field(default=GiveUpReason.UNSPECIFIED, compare=False)
 
 
+@dataclass(slots=True)
+class RejectIfUnsent:
+    """Final response that depends on whether an attempt in flight may have reached its endpoint.
+
+    The request is rejected if the caller withdraws each attempt in flight before the attempt's first byte is
+    written. Otherwise, or if the caller can't find out, the request fails.
+    """
+
+    request_id: str
+    # The advice that comes with a rejection, as in `Reject`.
+    retry_after: Duration | None = None
+    reason: GiveUpReason = field(default=GiveUpReason.UNSPECIFIED, compare=False)
+
+
+FinalResponse = Reject | Fail | RejectIfUnsent
+
+
 @dataclass(slots=True)
 class ServeCachedResponse:
     """Final response from the proxy's own cache: the cached response that came with the request."""
@@ -169,6 +186,7 @@
     | CancelAttempt
     | Reject
     | Fail
+    | RejectIfUnsent
     | ServeCachedResponse
     | StoreResponse
     | SetTimer
--- a/olivepost/proxy/action_executor.py
+++ b/olivepost/proxy/action_executor.py
@@ -68,10 +68,8 @@
                 self._forward(action)
             case api.CancelAttempt():
                 self._cancel(action)
-            case api.Reject():
-                self._give_up(action, Response(ResponseKind.REJECTED, retry_after=action.retry_after))
-            case api.Fail():
-                self._give_up(action, Response(ResponseKind.FAILED))
+            case api.Reject() | api.Fail() | api.RejectIfUnsent():
+                self._give_up(action)
             case api.ServeCachedResponse():
                 self._serve_cached(action)
             case api.StoreResponse():
@@ -135,10 +133,11 @@
 
     # Responses
 
-    def _give_up(self, action: api.Reject | api.Fail, response: Response) -> None:
+    def _give_up(self, action: api.FinalResponse) -> None:
         pending = self._pending.expect(action.request_id, "response_has_pending_request")
         if pending is None:
             return
+        response = _final_response(pending, action)
         self._log.increment(f"given_up_{action.reason.value}")
         self._log.sampled_event(
             "request_given_up",
@@ -178,3 +177,30 @@
                 store.release_lease(action, closed.generated_at if closed is not None else None)
             case api.ReportStaleHint() | api.RequestQuota() | api.DonateQuota() | api.ReportOutlier():
                 store.notify(action)
+
+
+def _final_response(pending: PendingExchange, action: api.FinalResponse) -> Response:
+    """Returns the response that the action asks for; for `RejectIfUnsent`, withdraws the attempts first."""
+    match action:
+        case api.Reject():
+            return Response(ResponseKind.REJECTED, retry_after=action.retry_after)
+        case api.RejectIfUnsent() if _withdraw_unsent(pending):
+            return Response(ResponseKind.REJECTED, retry_after=action.retry_after)
+        case _:
+            return Response(ResponseKind.FAILED)
+
+
+def _withdraw_unsent(pending: PendingExchange) -> bool:
+    """Withdraws the attempts that no connection has begun to write; none of them will be written.
+
+    Returns whether there are attempts in flight and all of them were withdrawn.
+    """
+    sent = [attempt for attempt in pending.attempts.values() if not _withdraw(attempt)]
+    return bool(pending.attempts) and not sent
+
+
+def _withdraw(attempt: UpstreamRequest) -> bool:
+    """Withdraws one attempt; returns False if a connection has begun to write it."""
+    if attempt.connection is None:
+        return True
+    return attempt in attempt.connection.withdraw(lambda request: request is attempt)
--- a/olivepost/proxy/upstream/request.py
+++ b/olivepost/proxy/upstream/request.py
@@ -24,6 +24,9 @@
 class AbortableConnection(Protocol):
     """Interface of the connection that a request was given to, as the event loop uses it."""
 
+    def withdraw(self, matches: RequestFilter, /) -> list[UpstreamRequest]:
+        """Removes and returns the requests that `matches` selects and that are not being written yet."""
+
     def abort(self, request: UpstreamRequest, is_awaited: bool = False, /) -> bool:
         """Gives the request up; returns whether an `UpstreamAborted` event will follow.
 
--- a/olivepost/router.py
+++ b/olivepost/router.py
@@ -13,7 +13,7 @@
 | `invalidation.reserve_cached_transfer` | ServeCachedResponse |
 | `invalidation.should_store` | StoreResponse |
 | `outcomes.record_silence` with `retries.may_abandon_attempt`; the end of a request | CancelAttempt |
-| `retries.final_response` | Reject, Fail |
+| `retries.final_response` | Reject, RejectIfUnsent, Fail |
 | `hints.should_look_up` | LookUpHint; for a fill also ReleaseLease at the end of the request |
 | a lookup-only attempt that misses in the hinted cache | ReportStaleHint |
 | `selection.select_route`, `retries.budget_shortage` | RequestQuota |
--- a/olivepost/routing/retries.py
+++ b/olivepost/routing/retries.py
@@ -123,15 +123,19 @@
 
 def final_response(
     state: RoutingState, pending: PendingRequest, reason: api.GiveUpReason
-) -> api.Reject | api.Fail:
+) -> api.FinalResponse:
     """Returns the final response of a request that is given up.
 
-    The response is a rejection if the client may send the request again, and a failure otherwise.
+    The response is a rejection if the client may send the request again, and a failure otherwise. If that
+    depends on whether an attempt in flight has reached its endpoint, the caller of the router finds out.
     """
+    request_id = pending.request.id
     retry_after = random_retry_after(state)
     if is_client_retry_harmless(pending):
-        return api.Reject(pending.request.id, retry_after, reason)
-    return api.Fail(pending.request.id, reason)
+        return api.Reject(request_id, retry_after, reason)
+    if not pending.executed:
+        return api.RejectIfUnsent(request_id, retry_after, reason)
+    return api.Fail(request_id, reason)
 
 
 def is_client_retry_harmless(pending: PendingRequest) -> bool:
--- a/olivepost/simulator_adapter/codec.py
+++ b/olivepost/simulator_adapter/codec.py
@@ -139,7 +139,8 @@
             return {"kind": "StopAttempt", "ticket": action.request_id, "attempt": action.attempt}
         case api.Reject():
             return {"kind": "Decline", "ticket": action.request_id, "wait": action.retry_after or 0}
-        case api.Fail():
+        # The protocol does not tell whether an attempt in flight has reached its endpoint.
+        case api.Fail() | api.RejectIfUnsent():
             return {"kind": "ReportFailure", "ticket": action.request_id}
         case api.SetTimer():
             return {"kind": "Timer", "delay": action.delay, "ref": action.timer_id}
--- a/tests/proxy/test_final_statuses.py
+++ b/tests/proxy/test_final_statuses.py
@@ -8,8 +8,8 @@
 
 from examples.toy_server import Command, ToyEndpoint
 from olivepost.units import SECOND
-from tests.proxy.fakes import settings_with_idempotency
-from tests.proxy_harness import HttpClient, running_proxy
+from tests.proxy.fakes import DelayedConnects, settings_with_idempotency
+from tests.proxy_harness import WAIT_TIMEOUT_S, HttpClient, running_proxy
 
 REJECTED = 503
 FAILED = 502
@@ -42,3 +42,42 @@
 
     assert response.status == status
     assert ("x-come-back-ms" in response.headers) == (status == REJECTED)
+
+
+WRITES_THAT_MUST_NOT_BE_REPEATED = pytest.mark.parametrize(
+    "settings",
+    [
+        settings_of("non_idempotent"),
+        settings_of("idempotency_key", window=2 * SECOND),
+        settings_of("idempotency_key", window=5 * SECOND, group="zone"),
+    ],
+    ids=["not idempotent", "short-lived key", "key of one zone"],
+)
+
+
+@WRITES_THAT_MUST_NOT_BE_REPEATED
+def test_write_that_waits_for_its_connection_is_rejected_and_never_sent(
+    delayed_connects: DelayedConnects, settings: dict[str, Any]
+) -> None:
+    """Guards against status 502 for a write that no cache has got, whose client does not come back then."""
+    with running_proxy(settings=settings) as proxy, proxy.connect() as client:
+        client.send(HttpClient.encode_request(timeout_ms=400))
+        assert delayed_connects.has_started.wait(WAIT_TIMEOUT_S)
+        response = client.read_response()
+        delayed_connects.may_connect.set()
+        assert proxy.wait_until(lambda: proxy.counter("upstream_connections_opened"))
+        # A second write goes through the same connection, behind the first one.
+        assert client.request().status == 200
+        sent = [command.id for endpoint in proxy.endpoints for command in endpoint.received()]
+
+    assert response.status == REJECTED
+    assert "x-come-back-ms" in response.headers
+    assert len(sent) == 1
+
+
+@WRITES_THAT_MUST_NOT_BE_REPEATED
+def test_write_that_a_cache_has_got_fails_at_its_deadline(settings: dict[str, Any]) -> None:
+    with running_proxy(answer_liveness_only, settings=settings) as proxy, proxy.connect() as client:
+        client.send(HttpClient.encode_request(timeout_ms=400))
+        proxy.wait_for_fetches()
+        assert client.read_response().status == FAILED
--- a/tests/router_harness.py
+++ b/tests/router_harness.py
@@ -171,9 +171,9 @@
     return attempt.source
 
 
-def final_responses(actions: list[api.Action]) -> list[api.Reject | api.Fail]:
+def final_responses(actions: list[api.Action]) -> list[api.FinalResponse]:
     """Returns the actions that end a request by a rejection or a failure."""
-    return [action for action in actions if isinstance(action, (api.Reject, api.Fail))]
+    return [action for action in actions if isinstance(action, api.FinalResponse)]
 
 
 def split(stream: bytes, cuts: list[int]) -> list[bytes]:
--- a/tests/routing/event_histories.py
+++ b/tests/routing/event_histories.py
@@ -62,7 +62,7 @@
         match action:
             case api.ForwardAttempt():
                 assert action.request_id in self.open_requests
-            case api.Reject() | api.Fail() | api.ServeCachedResponse():
+            case api.Reject() | api.RejectIfUnsent() | api.Fail() | api.ServeCachedResponse():
                 self.open_requests.remove(action.request_id)
             case api.SetTimer():
                 assert action.delay >= 0
--- a/tests/routing/invariant_checker.py
+++ b/tests/routing/invariant_checker.py
@@ -171,7 +171,7 @@
                 self._check_attempt(action)
             case api.CancelAttempt():
                 self._check_cancellation(action)
-            case api.Reject() | api.Fail():
+            case api.Reject() | api.RejectIfUnsent() | api.Fail():
                 self._check_final_response(action)
 
     def _check_cancellation(self, action: api.CancelAttempt) -> None:
@@ -181,12 +181,15 @@
         if attempt is not None:
             tracked.executed.append((self.now, attempt.cache))
 
-    def _check_final_response(self, action: api.Reject | api.Fail) -> None:
+    def _check_final_response(self, action: api.FinalResponse) -> None:
         """Checks the deadline invariant, and that the client may safely repeat a rejected request."""
         tracked = self.requests[action.request_id]
         assert not tracked.is_over
         assert self.now <= tracked.deadline
         assert isinstance(action, api.Reject) == self._is_client_retry_harmless(tracked)
+        if isinstance(action, api.RejectIfUnsent):
+            assert tracked.in_flight
+            assert not tracked.executed
         tracked.is_over = True
 
     def _is_client_retry_harmless(self, tracked: TrackedRequest) -> bool:
--- a/tests/routing/test_lifecycle.py
+++ b/tests/routing/test_lifecycle.py
@@ -69,7 +69,8 @@
 
     actions = driver.handle(api.Shutdown())
 
-    assert {type(response) for response in final_responses(actions)} == {api.Reject, api.Fail}
+    responses = {response.request_id: type(response) for response in final_responses(actions)}
+    assert responses == {"idempotent": api.Reject, "not idempotent": api.RejectIfUnsent}
     assert len(final_responses(actions)) == 2
     assert not final_responses(driver.advance(10 * SECOND))
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -114,6 +114,8 @@
         case _:
             actions = driver.complete_attempt("r", 0, AttemptStatus.CONNECTION_LOST)
 
+    if response is api.Fail and end != "lost connection":
+        response = api.RejectIfUnsent  # the attempt is in flight, and its endpoint may not have it yet
     assert [type(action) for action in final_responses(actions)] == [response]
 
 
@@ -138,3 +140,14 @@
     actions = driver.complete_attempt("r", 1, AttemptStatus.CONNECTION_LOST)
 
     assert [type(action) for action in final_responses(actions)] == [api.Reject]
+
+
+def test_non_idempotent_request_in_flight_is_rejected_only_if_it_was_not_sent() -> None:
+    """Guards against a failure for a request that has only waited for its connection."""
+    driver = RouterDriver(make_settings(make_class(idempotency=api.Idempotency.NOT_IDEMPOTENT)))
+    driver.request("r")
+
+    actions = driver.advance(3 * SECOND)
+
+    assert [type(action) for action in final_responses(actions)] == [api.RejectIfUnsent]
+    assert api.CancelAttempt("r", 0) in actions
--- a/tests/simulator_adapter/test_wire.py
+++ b/tests/simulator_adapter/test_wire.py
@@ -172,6 +172,7 @@
         (api.CancelAttempt("a", 1), {"front": 2, "kind": "StopAttempt", "ticket": "a", "attempt": 1}),
         (api.Reject("a", 5), {"front": 2, "kind": "Decline", "ticket": "a", "wait": 5}),
         (api.Fail("a"), {"front": 2, "kind": "ReportFailure", "ticket": "a"}),
+        (api.RejectIfUnsent("a", 5), {"front": 2, "kind": "ReportFailure", "ticket": "a"}),
         (api.SetTimer(5, 9), {"front": 2, "kind": "Timer", "delay": 5, "ref": 9}),
         (api.Subscribe(), {"front": 2, "kind": "Watch", "want": True}),
     ],
