Count the window of a key from the client's first try if the request is a retry

What callers would see: a client's first try runs and its answer is lost; the client repeats the request inside the window. The proxy that gets the retry counted the window from its own first attempt. It retried that attempt after a lost connection until the window counted so was over, when the caches had forgotten the key of the first try: a second effect.

The mark of a client's retry (X-Repeat, again-by-client on the simulator's wire) was not read.

Change: for a marked request the window counts from the earliest time at which the client can have sent its first try, this deadline less the class's deadline, which limits a client's wait over all tries. That bounds the proxy's own retries (latest_start) and decides between rejection and failure.

--- a/olivepost/interface/events.py
+++ b/olivepost/interface/events.py
@@ -115,6 +115,8 @@
     part: int = 0
     is_write: bool = False
     cached_response: CachedResponse | None = None
+    # Whether the client says that it has sent the request before. That try may have been executed.
+    is_client_retry: bool = False
 
 
 @dataclass(slots=True)
--- a/olivepost/proxy/downstream/routes.py
+++ b/olivepost/proxy/downstream/routes.py
@@ -13,6 +13,7 @@
 HEALTH_TARGET = "/-/healthy"
 METHODS = ("GET", "PUT")
 ALLOW_HEADER = {"Allow": ", ".join(METHODS)}  # header field of every response with status 405
+RETRY_FIELD = "x-repeat"  # present if the client has sent the request before, under another id
 MAX_GROUP = 255  # largest group number of an object
 _OBJECT_TARGET = re.compile(r"/api/v2/([^/]+)/([0-9a-f]{16})/slice-(0|[1-9][0-9]{0,8})", re.ASCII)
 _CALL_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
@@ -63,6 +64,7 @@
         deliver=deliver,
         is_client_disconnected=is_client_disconnected,
         is_write=is_write,
+        is_client_retry=RETRY_FIELD in message.headers,
         idempotency_key=_idempotency_key(message),
     )
 
--- a/olivepost/proxy/exchange.py
+++ b/olivepost/proxy/exchange.py
@@ -63,6 +63,7 @@
     # Asks the client's connection whether the client has disconnected. If so, no further attempt is written.
     is_client_disconnected: Callable[[], bool]
     is_write: bool = False  # whether the request changes the object at the origin
+    is_client_retry: bool = False  # whether the client marked the request as a retry
     idempotency_key: str | None = None  # the client's key, by which caches recognize a retry
     is_closed: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
--- a/olivepost/proxy/exchange_lifecycle.py
+++ b/olivepost/proxy/exchange_lifecycle.py
@@ -72,6 +72,7 @@
             part=exchange.part,
             cached_response=None if entry is None else self._cached_response(now, entry),
             is_write=exchange.is_write,
+            is_client_retry=exchange.is_client_retry,
         )
 
     def _cache_entry(self, now: Instant, exchange: Exchange) -> CacheEntry | None:
--- a/olivepost/routing/retries.py
+++ b/olivepost/routing/retries.py
@@ -108,7 +108,7 @@
     request_class = pending.request_class
     if not pending.executed or request_class.idempotency is not api.Idempotency.WITH_KEY:
         return None
-    window_end = first_sent_at(pending) + request_class.idempotency_window
+    window_end = first_execution_at(pending) + request_class.idempotency_window
     return window_end - state.settings.deadline_margin
 
 
@@ -151,26 +151,31 @@
         return False
     if request_class.deduplication_scope is not api.DeduplicationScope.ALL:
         return False
-    return first_sent_at(pending) + request_class.idempotency_window >= latest_client_retry(pending)
+    latest_client_retry = first_try_at(pending) + request_class.deadline
+    return first_execution_at(pending) + request_class.idempotency_window >= latest_client_retry
 
 
-def first_sent_at(pending: PendingRequest) -> Instant:
-    """Returns the time of the first attempt that may have been executed or may still be.
+def first_execution_at(pending: PendingRequest) -> Instant:
+    """Returns the earliest time at which an attempt may have been executed, from which a key is remembered.
 
-    The request must have such an attempt. The idempotency window begins at this time at the earliest.
+    The proxy must have sent an attempt that may have been executed. Before a client's retry, the client's
+    first try may have been executed as well.
     """
+    if pending.request.is_client_retry:
+        return first_try_at(pending)
     executed = [attempt.sent_at for attempt in pending.executed]
     in_flight = [attempt.sent_at for attempt in pending.in_flight.values()]
     return min(executed + in_flight)
 
 
-def latest_client_retry(pending: PendingRequest) -> Instant:
-    """Returns the latest time at which the client may still send the request again.
+def first_try_at(pending: PendingRequest) -> Instant:
+    """Returns when the client's first try arrived; for a client's retry, the earliest time that is possible.
 
-    The deadline of a class limits a client's wait for all tries together, and the client sent its first try
-    before the request arrived.
+    The deadline of a class limits a client's wait for all tries together.
     """
-    return pending.arrived_at + pending.request_class.deadline
+    if pending.request.is_client_retry:
+        return pending.deadline - pending.request_class.deadline
+    return pending.arrived_at
 
 
 def random_retry_after(state: RoutingState) -> Duration | None:
--- a/olivepost/simulator_adapter/codec.py
+++ b/olivepost/simulator_adapter/codec.py
@@ -174,6 +174,7 @@
         group=fields.integer("batch-id") if "batch-id" in fields.data else None,
         part=fields.integer("slice", 0),
         is_write=fields.boolean("write"),
+        is_client_retry=fields.boolean("again-by-client"),
     )
 
 
--- a/tests/proxy/test_final_statuses.py
+++ b/tests/proxy/test_final_statuses.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 import pytest
 
-from examples.toy_server import Command, ToyEndpoint
+from examples.toy_server import Command, ToyEndpoint, respond_normally
 from olivepost.units import SECOND
 from tests.proxy.fakes import DelayedConnects, settings_with_idempotency
 from tests.proxy_harness import WAIT_TIMEOUT_S, HttpClient, running_proxy
@@ -81,3 +82,26 @@
         client.send(HttpClient.encode_request(timeout_ms=400))
         proxy.wait_for_fetches()
         assert client.read_response().status == FAILED
+
+
+@pytest.mark.parametrize(
+    ("retry_field", "status", "fetch_count"),
+    [("", 200, 2), ("1", FAILED, 1)],
+    ids=["first try", "retry of the client"],
+)
+def test_write_is_retried_only_while_the_key_of_the_first_try_is_remembered(
+    retry_field: str, status: int, fetch_count: int
+) -> None:
+    """Guards against a retry that is executed, since the client's first try was sent up to 2.6 s before."""
+
+    def reset_first_fetch(endpoint: ToyEndpoint, command: Command) -> None:
+        if command.verb == "fetch" and len(proxy.wait_for_fetches()) == 1:
+            command.sock.shutdown(socket.SHUT_RDWR)
+        else:
+            respond_normally(endpoint, command)
+
+    settings = settings_of("idempotency_key", window=2 * SECOND)
+    with running_proxy(reset_first_fetch, settings=settings) as proxy, proxy.connect() as client:
+        client.send(HttpClient.encode_request(timeout_ms=400, X_Repeat=retry_field))
+        assert client.read_response().status == status
+        assert len(proxy.wait_for_fetches()) == fetch_count
--- a/tests/proxy/test_routes.py
+++ b/tests/proxy/test_routes.py
@@ -36,6 +36,11 @@
     assert (exchange.part, exchange.group, exchange.etag) == (3, 17, "mine")
     assert (exchange.timeout, exchange.received_at) == (1500 * MS, 7)
     assert not exchange.is_write
+    assert not exchange.is_client_retry
+
+
+def test_retry_of_a_client_is_marked_as_such() -> None:
+    assert build(x_repeat="1").is_client_retry
 
 
 def test_write_carries_its_body_and_key_without_a_condition() -> None:
--- a/tests/routing/invariant_checker.py
+++ b/tests/routing/invariant_checker.py
@@ -201,8 +201,20 @@
             return False
         if request_class.deduplication_scope is not api.DeduplicationScope.ALL:
             return False
-        window_end = min(tracked.sent_at.values()) + request_class.idempotency_window
-        return tracked.arrived_at + request_class.deadline <= window_end
+        return self._first_try_at(tracked) + request_class.deadline <= self._window_end(tracked)
+
+    def _first_try_at(self, tracked: TrackedRequest) -> Instant:
+        """Returns when the client's first try arrived; for a client's retry, the earliest possible time."""
+        if tracked.request.is_client_retry:
+            return tracked.deadline - self.settings.classes[tracked.request.class_name].deadline
+        return tracked.arrived_at
+
+    def _window_end(self, tracked: TrackedRequest) -> Instant:
+        """Returns the earliest time at which the key of a possibly executed request may be forgotten."""
+        executed_at = min(tracked.sent_at.values())
+        if tracked.request.is_client_retry:
+            executed_at = min(executed_at, self._first_try_at(tracked))
+        return executed_at + self.settings.classes[tracked.request.class_name].idempotency_window
 
     def _check_attempt(self, attempt: api.ForwardAttempt) -> None:
         tracked = self.requests[attempt.request_id]
@@ -227,6 +239,7 @@
             if request_class.deduplication_scope is api.DeduplicationScope.CELL:
                 assert CELLS.get(attempt.cache) == CELLS.get(first_cache) is not None
             assert self.now - executed_at < request_class.idempotency_window + LONGEST_RETRY_DELAY
+            assert self.now < self._window_end(tracked)
 
     def _check_age(self, request: api.Request, attempt: api.ForwardAttempt) -> None:
         for invalidation in self.invalidations:
--- a/tests/routing/test_invariants.py
+++ b/tests/routing/test_invariants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from dataclasses import dataclass
 
 from hypothesis import HealthCheck, given, settings
@@ -21,11 +22,13 @@
     class_name: str
     object: str
     timeout_ms: int
+    is_client_retry: bool
 
     def play(self, checker: InvariantChecker) -> None:
         request_id = f"r{len(checker.requests) + 1}"
         timeout = self.timeout_ms * MS
-        checker.track_request(api.Request(request_id, self.class_name, self.object, timeout, 100.0, 1))
+        request = api.Request(request_id, self.class_name, self.object, timeout, 100.0, 1)
+        checker.track_request(dataclasses.replace(request, is_client_retry=self.is_client_retry))
 
 
 @dataclass(frozen=True)
@@ -130,7 +133,7 @@
 INDEXES = st.integers(0, 30)
 CLASS_NAMES = st.sampled_from([request_class.name for request_class in CLASSES])
 STEPS: st.SearchStrategy[Step] = st.one_of(
-    st.builds(RequestArrives, CLASS_NAMES, st.sampled_from(OBJECTS), st.integers(0, 3000)),
+    st.builds(RequestArrives, CLASS_NAMES, st.sampled_from(OBJECTS), st.integers(0, 3000), st.booleans()),
     st.builds(AttemptEnds, INDEXES, st.sampled_from(STATUSES), st.sampled_from(list(api.CacheStatus))),
     st.builds(TimePasses, st.integers(0, 1500)),
     st.builds(
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -151,3 +151,38 @@
 
     assert [type(action) for action in final_responses(actions)] == [api.RejectIfUnsent]
     assert api.CancelAttempt("r", 0) in actions
+
+
+def test_retry_of_a_client_is_not_retried_after_the_window_of_the_first_try() -> None:
+    """Guards against a second effect: the client's first try was executed 0.5 s before its retry arrived."""
+    driver = driver_with_key(2 * SECOND)
+    driver.request("retry", timeout=2_500 * MS, is_client_retry=True)
+    driver.advance(1_400 * MS)
+    (retry,) = forwarded_attempts(driver.complete_attempt("retry", 0, AttemptStatus.CONNECTION_LOST))
+    margin = driver.router.settings.deadline_margin
+    assert retry.start_before == driver.now + 100 * MS - margin
+    driver.advance(100 * MS)
+
+    actions = driver.complete_attempt("retry", 1, AttemptStatus.CONNECTION_LOST)
+
+    assert final_responses(actions) == [api.Fail("retry")]
+
+
+def test_retry_of_a_client_is_rejected_only_if_the_key_of_the_first_try_outlasts_the_client() -> None:
+    """Guards against a rejection where the key of the client's first try may be forgotten by its third."""
+    for window, response in ((3 * SECOND - 1, api.Fail), (3 * SECOND, api.Reject)):
+        driver = driver_with_key(window, max_attempts=2)
+        driver.request("retry", timeout=2_500 * MS, is_client_retry=True)
+        driver.advance(500 * MS)
+        driver.complete_attempt("retry", 0, AttemptStatus.CONNECT_FAILED)
+        actions = driver.complete_attempt("retry", 1, AttemptStatus.CONNECTION_LOST)
+        assert [type(action) for action in final_responses(actions)] == [response]
+
+
+def test_retry_of_a_client_that_no_endpoint_has_got_is_rejected() -> None:
+    driver = driver_with_key(2 * SECOND, max_attempts=1)
+    driver.request("retry", timeout=SECOND, is_client_retry=True)
+
+    actions = driver.complete_attempt("retry", 0, AttemptStatus.REJECTED)
+
+    assert [type(action) for action in final_responses(actions)] == [api.Reject]
--- a/tests/simulator_adapter/test_wire.py
+++ b/tests/simulator_adapter/test_wire.py
@@ -203,6 +203,15 @@
     }
 
 
+def test_retry_of_a_client_is_marked_as_such() -> None:
+    first = read_event(REQUEST)
+    retry = read_event({**REQUEST, "again-by-client": True})
+
+    assert isinstance(first, api.Request)
+    assert isinstance(retry, api.Request)
+    assert (first.is_client_retry, retry.is_client_retry) == (False, True)
+
+
 def test_what_the_wire_has_as_not_set_is_read_as_none() -> None:
     request = read_event({**REQUEST, "bytes-k": 0})
     update = read_event({**ENDPOINT_LIST, "members": [{"cache": "c", "up-since": 0}]})
