Keep the zone and cell of a cache that may have executed a request with a key

What callers would see: a request whose key counts in one cell runs at a cache, its answer is lost, and the cache leaves the endpoint list. Where the platform names no zones, the proxy retried the request in cell 0, which knows nothing of the key: a second effect. Where it names zones, the request failed although the other caches of its cell drop repeats.

Cause: is_idempotent_at looked the first cache up in the present endpoint list and took zone "" and cell 0 for a cache that was no longer there.

Change: an attempt keeps the cache's entry of the endpoint list from the time at which it was sent, and the scope is taken from there.

Before the change 3 of the 4 cases of test_deduplication_scope_is_that_of_a_cache_that_has_left_the_list failed, one of them with the retry in another cell.

--- a/olivepost/attempt_lifecycle.py
+++ b/olivepost/attempt_lifecycle.py
@@ -60,7 +60,8 @@
             start_before=retries.latest_start(state, pending),
         )
         timeout = outcomes.silence_timeout(state, pending)
-        attempt = Attempt(pending.attempt_count, cache, source, now, timeout)
+        metadata = state.endpoints.by_id[cache].metadata
+        attempt = Attempt(pending.attempt_count, cache, source, now, timeout, metadata)
         state.endpoints.open_attempt(now, attempt, state.mean_work(request_class))
         pending.in_flight[attempt.number] = attempt
         pending.attempt_count += 1
@@ -102,5 +103,5 @@
             return
         self._actions.emit(api.CancelAttempt(pending.request.id, attempt.number))
         self.close(pending, attempt)
-        pending.executed.append(ExecutedAttempt(attempt.sent_at, attempt.cache))
+        pending.executed.append(ExecutedAttempt(attempt.sent_at, attempt.cache_metadata))
         self._retry(now, pending)
--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -200,7 +200,7 @@
             self._forward(now, pending, overload=self._state.fills)
         elif not pending.in_flight:
             if outcome.status not in api.NOT_EXECUTED:
-                pending.executed.append(ExecutedAttempt(attempt.sent_at, attempt.cache))
+                pending.executed.append(ExecutedAttempt(attempt.sent_at, attempt.cache_metadata))
             self._forward(now, pending, retry_cost=retries.cost_of(pending, outcome))
 
     def start_response(self, request_id: str) -> None:
--- a/olivepost/routing/retries.py
+++ b/olivepost/routing/retries.py
@@ -86,17 +86,15 @@
     latest = latest_start(state, pending)
     if latest is None or now >= latest:
         return False
-    first = state.endpoints.by_id.get(pending.executed[0].endpoint_id)
-    first_zone = first.metadata.zone if first is not None else ""
-    first_cell = first.metadata.cell if first is not None else 0
+    first = pending.executed[0].endpoint
     endpoint = state.endpoints.by_id[target].metadata
     match request_class.deduplication_scope:
         case api.DeduplicationScope.ALL:
             return True
         case api.DeduplicationScope.ZONE:
-            return endpoint.zone == first_zone
+            return endpoint.zone == first.zone
         case api.DeduplicationScope.CELL:
-            return endpoint.zone == first_zone and endpoint.cell == first_cell
+            return endpoint.zone == first.zone and endpoint.cell == first.cell
 
 
 def latest_start(state: RoutingState, pending: PendingRequest) -> Instant | None:
--- a/olivepost/routing_state/pending_request.py
+++ b/olivepost/routing_state/pending_request.py
@@ -39,6 +39,8 @@
     sent_at: Instant
     # The interval at which the attempt is checked for silence until it has a response.
     silence_timeout: Duration
+    # The cache's entry in the endpoint list when the attempt was sent. The cache may leave the list later.
+    cache_metadata: api.EndpointMetadata
 
     @property
     def endpoint_ids(self) -> tuple[str, ...]:
@@ -56,7 +58,7 @@
     """Attempt that has ended and that its endpoint may have executed."""
 
     sent_at: Instant
-    endpoint_id: str
+    endpoint: api.EndpointMetadata  # the endpoint's entry in the endpoint list when the attempt was sent
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -68,6 +68,28 @@
         driver.handle(api.ClientDisconnected(str(number)))
 
 
+@pytest.mark.parametrize("zone", ["west", ""], ids=["zones", "no zones"])
+@pytest.mark.parametrize(("other_cell", "is_retried"), [(0, False), (3, True)])
+def test_deduplication_scope_is_that_of_a_cache_that_has_left_the_list(
+    zone: str, other_cell: int, is_retried: bool
+) -> None:
+    """Guards against a second effect in another cell, after the cache that may have run the first is gone."""
+    request_class = make_class(
+        idempotency=api.Idempotency.WITH_KEY, deduplication_scope=api.DeduplicationScope.CELL
+    )
+    driver = RouterDriver(make_settings(request_class, zone=zone), (cache("a:1", zone=zone, cell=3),))
+    assert first_attempt(driver.request("r")).cache == "a:1"
+    changes = (
+        cache("a:1", state=api.EndpointState.REMOVED, zone=zone, cell=3),
+        cache("b:1", zone=zone, cell=other_cell),
+    )
+    driver.handle(api.EndpointUpdate(api.EndpointUpdateKind.INCREMENTAL, changes))
+
+    actions = driver.complete_attempt("r", 0, AttemptStatus.CONNECTION_LOST)
+
+    assert bool(forwarded_attempts(actions)) == is_retried
+
+
 def test_retry_must_start_within_its_idempotency_window() -> None:
     """Guards against a retry that starts too late because it has waited for its connection.
 
