Soak: a write that may have run must not be rejected; writes with short-lived keys

Need: the soak counted repeats of writes by the proxy, but not the promise of a rejection, and all its writes were of a class that is not idempotent.

Change: the oracle reports each write with status 503 of which an endpoint got a whole command, unless the endpoint proved that it did not run it.

--- a/tests/soak/options.py
+++ b/tests/soak/options.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from olivepost.units import SECOND
 from tests.proxy_harness import toy_config
 from tests.soak.environment import SoakEnvironment
 
-NON_IDEMPOTENT_CLASS = "order"
+WRITE_CLASS = "order"
 MAX_SOCKETS = 256  # descriptor limit of a proxy without a crowd
 CLOCK_ERRORS_S = (0, 0, 5, -5, 3_600, -3_600)
 MEMORY_LIMITS_MB = (32, 48, 64, 96)
@@ -32,6 +33,10 @@
 LASTING_SHORTAGE_SHARE = 0.25
 UNRESPONSIVE_STORES = (0, 0, 4)
 MIN_STORE_MEMORY_MB = 96  # lowest memory limit with shared stores, because their client libraries need memory
+# In the runs of seeds below this one, writes are not idempotent. From this seed on, they have idempotency
+# keys that are remembered for `KEY_WINDOW_S` only.
+FIRST_KEY_SEED = 2_000
+KEY_WINDOW_S = 0.3
 SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 
 
@@ -119,10 +124,22 @@
         }
 
 
+def key_window_s(seed: int) -> float:
+    """Returns the seconds for which endpoints remember the key of a write; 0 if writes are not idempotent."""
+    return KEY_WINDOW_S if seed >= FIRST_KEY_SEED else 0.0
+
+
 def soak_config(
-    environment: SoakEnvironment, memory_mb: int, listen: str, max_sockets: int = MAX_SOCKETS
+    environment: SoakEnvironment,
+    memory_mb: int,
+    listen: str,
+    max_sockets: int = MAX_SOCKETS,
+    window_s: float = 0.0,
 ) -> dict[str, Any]:
-    """Returns the proxy's configuration. Requests of one of its three request classes are not idempotent."""
+    """Returns the proxy's configuration, which has three request classes; the last one is for writes.
+
+    Writes have a key that is remembered for `window_s`, or are not idempotent if `window_s` is 0.
+    """
     config = toy_config(
         name="soak",
         listen=listen,
@@ -133,8 +150,10 @@
         link_bytes_per_s=40_000_000,
     )
     settings = config["settings"]
-    non_idempotent = {**settings["classes"][1], "name": NON_IDEMPOTENT_CLASS, "effect": "non_idempotent"}
-    settings["classes"] = [*settings["classes"], non_idempotent]
+    writes = {**settings["classes"][1], "name": WRITE_CLASS, "effect": "non_idempotent"}
+    if window_s:
+        writes |= {"effect": "idempotency_key", "group": "all", "window": int(window_s * SECOND)}
+    settings["classes"] = [*settings["classes"], writes]
     family = settings["family-info"]
     family["max-age"] = [0, 8_000_000_000, 0]
     family["usable-after"] = [0, 30_000_000_000, 0]
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -12,6 +12,7 @@
 from enum import Enum
 from operator import attrgetter
 
+REJECTED = 503  # status of a response after which trying again must be harmless
 RESPONSE_SLACK_S = 0.5  # a response may arrive this long after its request's deadline
 DISCONNECT_SLACK_S = 0.1  # attempts may reach endpoints this long after the client disconnected
 # Added to `DRAIN_GRACE_S` and `INVALIDATION_GRACE_S`, because data needs time to pass through sockets.
@@ -88,7 +89,10 @@
     `lock` guards the records. `pauses` are the spans of time in which the proxy or the test could not run.
     """
 
-    non_idempotent_class: str
+    write_class: str
+    # Seconds for which the key of a write is remembered, fewer than its client may wait; 0 if writes are not
+    # idempotent.
+    key_window_s: float = 0.0
     load_id_prefix: str = "-"  # prefix of a load process's request ids; "-" matches no request id
     lock: threading.Lock = field(default_factory=threading.Lock)
     requests: dict[str, ClientRequest] = field(default_factory=dict)
@@ -147,6 +151,7 @@
             found += self._violations_of(request)
         found += self._endpoint_violations()
         found += self._repeated_execution_violations()
+        found += self._rejected_execution_violations()
         return found
 
     def _paused_for(self, begin: float, end: float) -> float:
@@ -248,15 +253,44 @@
         return found
 
     def _repeated_execution_violations(self) -> list[str]:
-        """Returns a violation for each command that repeats a possibly executed non-idempotent request."""
+        """Returns a violation for each command that repeats a possibly executed write.
+
+        A write with a key may be repeated until the endpoints forget its key.
+        """
         found = []
-        possible: set[str] = set()
-        for arrival in sorted(self.arrivals, key=attrgetter("began_at")):
-            request = self.requests.get(arrival.request_id)
-            if request is None or request.class_name != self.non_idempotent_class:
-                continue
-            if arrival.request_id in possible:
+        executed_at: dict[str, float] = {}
+        for arrival in self._arrivals_of_writes():
+            first_at = executed_at.get(arrival.request_id)
+            if first_at is not None and not self._is_key_remembered(first_at, arrival.began_at):
                 found.append(f"{arrival.label}: may have been executed before")
             if arrival.execution is Execution.POSSIBLE:
-                possible.add(arrival.request_id)
+                executed_at.setdefault(arrival.request_id, arrival.began_at)
+        return found
+
+    def _is_key_remembered(self, executed_at: float, repeated_at: float) -> bool:
+        if not self.key_window_s:
+            return False
+        limit = executed_at + self.key_window_s + SOCKET_SLACK_S + SCHEDULING_SLACK_S
+        return repeated_at <= limit + self._paused_for(executed_at, repeated_at)
+
+    def _rejected_execution_violations(self) -> list[str]:
+        """Returns a violation for each write that was rejected although it may have been executed.
+
+        A client repeats a rejected request at any time of its wait, also when the key is forgotten.
+        """
+        found = []
+        for arrival in self._arrivals_of_writes():
+            is_rejected = self.requests[arrival.request_id].status == REJECTED
+            if is_rejected and arrival.execution is Execution.POSSIBLE:
+                found.append(f"{arrival.label}: rejected, but may have been executed")
         return found
+
+    def _arrivals_of_writes(self) -> list[Arrival]:
+        """Returns the commands of writes in the order of their arrival."""
+        arrivals = [
+            arrival
+            for arrival in self.arrivals
+            if arrival.request_id in self.requests
+            and self.requests[arrival.request_id].class_name == self.write_class
+        ]
+        return sorted(arrivals, key=attrgetter("began_at"))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,10 +23,11 @@
 from tests.soak.fault_injector import FaultInjector
 from tests.soak.load_process import LoadOptions, LoadProcess, LoadRequest
 from tests.soak.options import (
-    NON_IDEMPOTENT_CLASS,
     SHUTDOWN_SIGNALS,
+    WRITE_CLASS,
     PressureOptions,
     SoakOptions,
+    key_window_s,
     soak_config,
 )
 from tests.soak.oracle import ClientRequest, Oracle, Outcome
@@ -67,7 +68,7 @@
         self.longest_first_wait_s = 0.0  # longest wait of the crowd for the first response on a connection
         self._seed = seed
         self._folder = folder
-        self._oracle = Oracle(NON_IDEMPOTENT_CLASS)
+        self._oracle = Oracle(WRITE_CLASS, key_window_s(seed))
         self._environment = SoakEnvironment(seed, self._oracle)
         self._stores = UnresponsiveStores(self.pressure.unresponsive_stores, folder)
         self._proxy = self._start_proxy(ANY_PORT)
@@ -124,7 +125,11 @@
 
     def _config(self, listen: str) -> dict[str, Any]:
         return soak_config(
-            self._environment, self.options.memory_mb, listen, max_sockets=self.pressure.max_sockets
+            self._environment,
+            self.options.memory_mb,
+            listen,
+            max_sockets=self.pressure.max_sockets,
+            window_s=key_window_s(self._seed),
         )
 
     def _start_crowd(self) -> LoadProcess | None:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -54,13 +54,16 @@
             [Arrival("once", "c0", "c0", "n", 10.1, Execution.NONE), Arrival("once", "c1", "c1", "n", 10.2)],
             "",
         ),
+        ([Arrival("rejected", "c0", "c0", "n", 10.1)], "rejected, but may have been executed"),
+        ([Arrival("rejected", "c0", "c0", "n", 10.1, Execution.NONE)], ""),
     ],
 )
 def test_oracle_reports_attempts_that_violate_an_invariant(arrivals: list[Arrival], message: str) -> None:
     oracle = Oracle("order")
     oracle.add_request(completed_request())
     oracle.add_request(completed_request("disconnected", outcome=Outcome.DISCONNECTED))
-    oracle.add_request(completed_request("once", class_name="order"))
+    oracle.add_request(completed_request("once", class_name="order", status=502))
+    oracle.add_request(completed_request("rejected", class_name="order"))
     oracle.drained_at["p0"] = 10.0
     for arrival in arrivals:
         oracle.add_arrival(arrival)
@@ -86,3 +89,14 @@
     oracle.add_arrival(Arrival("load1", "c0", "c0", "n", 10.9))
     (found,) = oracle.violations()
     assert "was drained" in found
+
+
+def test_oracle_accepts_a_repeated_write_only_while_its_key_is_remembered() -> None:
+    oracle = Oracle("order", key_window_s=0.3)
+    oracle.add_request(completed_request("once", class_name="order", status=502))
+    oracle.add_arrival(Arrival("once", "c0", "c0", "n", 10.1))
+    oracle.add_arrival(Arrival("once", "c1", "c1", "n", 10.3))
+    assert oracle.violations() == []
+    oracle.add_arrival(Arrival("once", "c1", "c1", "n", 10.7))
+    (found,) = oracle.violations()
+    assert "may have been executed" in found
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,13 +9,13 @@
 import pytest
 
 from tests.soak.child_process import ChildProcess
-from tests.soak.options import FIRST_PRESSURE_SEED, PressureOptions, SoakOptions
+from tests.soak.options import FIRST_PRESSURE_SEED, PressureOptions, SoakOptions, key_window_s
 
 SEEDS = (3, 21, 38, 43)
 # The first seed's run has a crowd, which is a load with more clients than the proxy may have connections. The
 # second has a slow reader, and stops reading the proxy's log. The third has a lasting shortage, during which
-# all peeks at sockets fail until the proxy exits.
-PRESSURE_SEEDS = (1003, 1039, 1262)
+# all peeks at sockets fail until the proxy exits. In the fourth, writes have short-lived keys.
+PRESSURE_SEEDS = (1003, 1039, 1262, 2005)
 RUN_TIMEOUT_S = 90.0
 
 
@@ -91,6 +91,10 @@
     assert any(option.has_lasting_shortage for option in options)
 
 
+def test_suite_seeds_cover_writes_with_and_without_keys() -> None:
+    assert {key_window_s(seed) > 0 for seed in SEEDS + PRESSURE_SEEDS} == {False, True}
+
+
 def test_suite_seeds_cover_memory_limits_failing_calls_and_clock_errors() -> None:
     options = [SoakOptions.sample(random.Random(seed)) for seed in SEEDS]
     assert {option.memory_mb for option in options} >= {32, 48, 96}
