Reject where a client with a key can be back in time; forward no retry too late

Change: a retry that a client marks is forwarded only while the key is certainly remembered, counted from the earliest possible first try; its attempts carry that bound (start_before), and after it the retry is rejected unsent. A request with a key that may have been executed is rejected if a client that follows the longest Retry-After is back inside the window, or if the window outlasts the client's whole wait.

Cost: a marked retry whose remaining time is at most the class's deadline less its window is not served, also if its first try never ran.

--- a/benchmarks/branch/settings.py
+++ b/benchmarks/branch/settings.py
@@ -52,6 +52,7 @@
         max_attempts=6,
         can_cancel_attempts=True,
         allows_hedged_requests=False,
+        marks_client_retries=True,
         supports_retry_after=True,
         max_retry_after=SECOND,
         deadline_margin=2 * MILLISECOND,
--- a/olivepost/config/loader.py
+++ b/olivepost/config/loader.py
@@ -99,6 +99,7 @@
         settings,
         local_transfer_capacity=link_bytes_per_s / transfer_bytes_per_s if transfer_bytes_per_s else 0.0,
         deadline_margin=max(settings.deadline_margin, _compute_deadline_margin(settings)),
+        marks_client_retries=True,  # the HTTP protocol requires it, by `X-Repeat`
     )
     return ProxyConfig(
         name=environment.get(NAME_VARIABLE) or configuration.text("name", DEFAULT_NAME),
--- a/olivepost/config/router_settings.py
+++ b/olivepost/config/router_settings.py
@@ -75,6 +75,7 @@
         max_attempts=max(1, limits.integer("attempts-cap", 1)),
         can_cancel_attempts=limits.boolean("cancel"),
         allows_hedged_requests=limits.boolean("second-copies"),
+        marks_client_retries=info.section("clients").boolean("marks-retry"),
         supports_retry_after=limits.boolean("retry-after"),
         max_retry_after=limits.duration("max-retry-after", 0),
         deadline_margin=info.duration("tick", 0),
--- a/olivepost/interface/settings.py
+++ b/olivepost/interface/settings.py
@@ -89,6 +89,8 @@
     can_cancel_attempts: bool
     allows_hedged_requests: bool
     supports_retry_after: bool
+    # Whether each client marks its retries, as `Request.is_client_retry` says.
+    marks_client_retries: bool
     max_retry_after: Duration
     # The final response is sent at least this long before a request's deadline.
     deadline_margin: Duration
--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -221,7 +221,7 @@
         request_id = pending.request.id
         if self.pending.get(request_id) is not pending or pending.is_response_started:
             return
-        self._actions.emit(retries.final_response(self._state, pending, reason))
+        self._actions.emit(retries.final_response(self._state, now, pending, reason))
         self.forget(now, request_id)
 
     def forget(self, now: Instant, request_id: str) -> None:
--- a/olivepost/routing/retries.py
+++ b/olivepost/routing/retries.py
@@ -9,6 +9,7 @@
 MAX_RETRIES = 10.0  # highest number of retries that the retry budget holds
 DONATION_FLOOR = 0.5  # share of MAX_RETRIES that this proxy never donates to other proxies
 MEAN_RETRY_AFTER: Duration = SECOND // 2
+MAX_RETRY_AFTER: Duration = 3 * MEAN_RETRY_AFTER // 2  # longest value of Retry-After
 # Number of tries to subscribe to the endpoint list within `subscription_timeout`.
 SUBSCRIPTIONS_PER_TIMEOUT = 4
 
@@ -81,10 +82,12 @@
     repeat has no second effect.
     """
     request_class = pending.request_class
+    latest = latest_start(state, pending)
+    if latest is not None and now >= latest:
+        return False
     if not pending.executed or request_class.idempotency is api.Idempotency.IDEMPOTENT:
         return True
-    latest = latest_start(state, pending)
-    if latest is None or now >= latest:
+    if request_class.idempotency is api.Idempotency.NOT_IDEMPOTENT:
         return False
     first = pending.executed[0].endpoint
     endpoint = state.endpoints.by_id[target].metadata
@@ -98,16 +101,16 @@
 
 
 def latest_start(state: RoutingState, pending: PendingRequest) -> Instant | None:
-    """Returns the latest time at which a retry may begin, or None if there is no bound.
+    """Returns the latest time at which an attempt may begin, or None if there is no bound.
 
-    The bound is sent along with the attempt, since the attempt may have to wait for a connection and then
-    begin too late.
+    Only a request with a key that may have been executed before has a bound. It is sent along with the
+    attempt, since the attempt may have to wait for a connection and then begin too late.
     """
-    request_class = pending.request_class
-    if not pending.executed or request_class.idempotency is not api.Idempotency.WITH_KEY:
+    if pending.request_class.idempotency is not api.Idempotency.WITH_KEY:
         return None
-    window_end = first_execution_at(pending) + request_class.idempotency_window
-    return window_end - state.settings.deadline_margin
+    if not (pending.executed or pending.request.is_client_retry):
+        return None
+    return window_end(pending) - state.settings.deadline_margin
 
 
 def may_abandon_attempt(state: RoutingState, pending: PendingRequest) -> bool:
@@ -120,7 +123,7 @@
 
 
 def final_response(
-    state: RoutingState, pending: PendingRequest, reason: api.GiveUpReason
+    state: RoutingState, now: Instant, pending: PendingRequest, reason: api.GiveUpReason
 ) -> api.FinalResponse:
     """Returns the final response of a request that is given up.
 
@@ -129,18 +132,20 @@
     """
     request_id = pending.request.id
     retry_after = random_retry_after(state)
-    if is_client_retry_harmless(pending):
+    if is_client_retry_harmless(state, now, pending):
         return api.Reject(request_id, retry_after, reason)
     if not pending.executed:
         return api.RejectIfUnsent(request_id, retry_after, reason)
     return api.Fail(request_id, reason)
 
 
-def is_client_retry_harmless(pending: PendingRequest) -> bool:
-    """Whether the client may repeat the request at any time: no endpoint has it, or no repeat has an effect.
+def is_client_retry_harmless(state: RoutingState, now: Instant, pending: PendingRequest) -> bool:
+    """Whether the client may repeat the request: no endpoint has it, or no repeat has a second effect.
 
-    The proxy can advise a client to wait, but it can't make a client return soon. A repeat of a request that
-    may have been executed must therefore be dropped for as long as the client can send it.
+    The key of a request that may have been executed must be remembered until the client repeats the request.
+    The proxy can't make the client return in time, since Retry-After is only advice. If clients mark their
+    retries, one that comes too late is not forwarded (`latest_start`), and it is enough if a client that
+    follows the advice returns in time. Otherwise the key must be remembered for the client's whole wait.
     """
     request_class = pending.request_class
     if request_class.idempotency is api.Idempotency.IDEMPOTENT or not (pending.executed or pending.in_flight):
@@ -149,15 +154,22 @@
         return False
     if request_class.deduplication_scope is not api.DeduplicationScope.ALL:
         return False
-    latest_client_retry = first_try_at(pending) + request_class.deadline
-    return first_execution_at(pending) + request_class.idempotency_window >= latest_client_retry
+    if window_end(pending) >= first_try_at(pending) + request_class.deadline:
+        return True
+    returns_in_time = now + MAX_RETRY_AFTER <= window_end(pending) - state.settings.deadline_margin
+    return state.settings.marks_client_retries and returns_in_time
+
+
+def window_end(pending: PendingRequest) -> Instant:
+    """Returns the earliest time at which the key of a possibly executed request may be forgotten."""
+    return first_execution_at(pending) + pending.request_class.idempotency_window
 
 
 def first_execution_at(pending: PendingRequest) -> Instant:
-    """Returns the earliest time at which an attempt may have been executed, from which a key is remembered.
+    """Returns the earliest time at which the request may have been executed, from which a key is remembered.
 
-    The proxy must have sent an attempt that may have been executed. Before a client's retry, the client's
-    first try may have been executed as well.
+    The client's first try may have been executed before a client's retry arrives. Of any other request, the
+    proxy must have sent an attempt that may have been executed.
     """
     if pending.request.is_client_retry:
         return first_try_at(pending)
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -7,7 +7,7 @@
 
 from examples.toy_server import CONFIG
 from olivepost import interface as api
-from olivepost.config import ConfigError, load, read_config
+from olivepost.config import ConfigError, load, read_config, read_settings
 from olivepost.config.loader import MAX_DEADLINE_MARGIN
 from olivepost.units import MILLISECOND, SECOND
 from tests.proxy_harness import toy_config
@@ -40,6 +40,15 @@
     assert requests_per_endpoint >= limits.max_client_connections
 
 
+def test_clients_mark_their_retries_on_sockets_and_elsewhere_if_the_settings_say_so() -> None:
+    data = toy_config()
+
+    assert "clients" not in data["settings"]
+    assert read_config(data, {}).settings.marks_client_retries
+    assert not read_settings(data["settings"]).marks_client_retries
+    assert read_settings({**data["settings"], "clients": {"marks-retry": True}}).marks_client_retries
+
+
 def test_capacity_of_the_local_link_is_counted_in_transfers() -> None:
     config = read_config(toy_config(flow_bytes_per_s=1000, link_bytes_per_s=4500.0), {})
 
--- a/tests/router_harness.py
+++ b/tests/router_harness.py
@@ -60,6 +60,7 @@
         max_attempts=6,
         can_cancel_attempts=True,
         allows_hedged_requests=False,
+        marks_client_retries=True,
         supports_retry_after=True,
         max_retry_after=SECOND,
         deadline_margin=2 * MS,
--- a/tests/routing/test_event_histories.py
+++ b/tests/routing/test_event_histories.py
@@ -43,6 +43,7 @@
     max_attempts=st.integers(1, 6),
     can_cancel_attempts=st.booleans(),
     allows_hedged_requests=st.booleans(),
+    marks_client_retries=st.booleans(),
     supports_retry_after=st.booleans(),
     local_transfer_capacity=st.sampled_from((0.0, 2.0)),
     shared_store_timeout=st.sampled_from((None, 10 * MS)),
