Give idempotency a module of its own; record executions in one place

Whether a failed attempt may have been executed was recorded only where no other attempt was in flight; today a request has one attempt at a time, so nothing was lost by that.

Change: olivepost/routing/idempotency.py decides whether a repeated attempt or a client's own retry could have a second effect; retries.py keeps the budget and the final response. The outcome of an attempt is recorded as possibly executed where it is handled.

--- a/olivepost/attempt_lifecycle.py
+++ b/olivepost/attempt_lifecycle.py
@@ -14,7 +14,7 @@
 
 from olivepost import interface as api
 from olivepost.action_emitter import ActionEmitter
-from olivepost.routing import invalidation, outcomes, retries
+from olivepost.routing import idempotency, invalidation, outcomes, retries
 from olivepost.routing_state import Attempt, ExecutedAttempt, PendingRequest, RoutingState
 from olivepost.units import Instant
 
@@ -57,7 +57,7 @@
             # A response of rank 0 is not cached, so requests can't share its fill. Every write has rank 0.
             collapse_fills=self._settings.can_collapse_fills and pending.rank > 0,
             refresh=request_class.freshness_lifetime is not None and source is not None,
-            start_before=retries.latest_start(state, pending),
+            start_before=idempotency.latest_start(state, pending),
         )
         timeout = outcomes.silence_timeout(state, pending)
         metadata = state.endpoints.by_id[cache].metadata
--- a/olivepost/request_lifecycle.py
+++ b/olivepost/request_lifecycle.py
@@ -182,6 +182,8 @@
         else:
             ejection = outcomes.record_failed_attempt(self._state, now, pending, attempt, outcome)
             self._actions.report_outlier(ejection)
+            if outcome.status not in api.NOT_EXECUTED:
+                pending.executed.append(ExecutedAttempt(attempt.sent_at, attempt.cache_metadata))
         if outcome.is_final:
             self.forget(now, outcome.request_id)
         elif not is_ok:
@@ -199,8 +201,6 @@
                 self._actions.emit(stale)
             self._forward(now, pending, overload=self._state.fills)
         elif not pending.in_flight:
-            if outcome.status not in api.NOT_EXECUTED:
-                pending.executed.append(ExecutedAttempt(attempt.sent_at, attempt.cache_metadata))
             self._forward(now, pending, retry_cost=retries.cost_of(pending, outcome))
 
     def start_response(self, request_id: str) -> None:
