--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -100,3 +100,27 @@
     oracle.add_arrival(Arrival("once", "c1", "c1", "n", 10.7))
     (found,) = oracle.violations()
     assert "may have been executed" in found
+
+
+@pytest.mark.parametrize(("repeated_at", "is_reported"), [(10.3, False), (10.7, True)])
+def test_oracle_counts_the_window_of_a_key_over_all_tries_of_a_client(
+    repeated_at: float, is_reported: bool
+) -> None:
+    oracle = Oracle("order", key_window_s=0.3)
+    oracle.add_request(completed_request("first", class_name="order", status=502, key="first"))
+    oracle.add_request(completed_request("retry", class_name="order", status=200, key="first"))
+    oracle.requests["retry"].etag = "n-7"
+    oracle.requests["retry"].body = b"n"
+    oracle.add_arrival(Arrival("first", "c0", "c0", "n", 10.1))
+    oracle.add_arrival(Arrival("retry", "c1", "c1", "n", repeated_at))
+    assert bool(oracle.violations()) == is_reported
+
+
+@pytest.mark.parametrize(("ended_at", "is_reported"), [(10.3, False), (11.0, True)])
+def test_oracle_accepts_the_rejection_of_a_write_whose_client_is_back_in_time(
+    ended_at: float, is_reported: bool
+) -> None:
+    oracle = Oracle("order", key_window_s=1.2)
+    oracle.add_request(completed_request("rejected", class_name="order", ended_at=ended_at))
+    oracle.add_arrival(Arrival("rejected", "c0", "c0", "n", 10.1))
+    assert bool(oracle.violations()) == is_reported
