Test a rejected write whose client is back inside the window of its key, and after

Need: the promise of a rejection as a client meets it, both tries on sockets: the write is reset after it may have run, rejected at once, and repeated as marked. Inside the window the repeat is forwarded and served; after it the repeat is rejected and no cache gets it.

The reset of one fetch stands once in the file now, for two tests.

--- a/tests/proxy/test_final_statuses.py
+++ b/tests/proxy/test_final_statuses.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
+import time
 from typing import Any
 
 import pytest
 
-from examples.toy_server import Command, ToyEndpoint, respond_normally
-from olivepost.units import SECOND
+from examples.toy_server import Command, Reply, ToyEndpoint, respond_normally
+from olivepost.units import MILLISECOND, SECOND
 from tests.proxy.fakes import DelayedConnects, settings_with_idempotency
 from tests.proxy_harness import WAIT_TIMEOUT_S, HttpClient, running_proxy
 
@@ -23,6 +25,19 @@
         command.sock.sendall(f"{command.id} PONG\r\n".encode())
 
 
+def reply_after_one_reset() -> Reply:
+    """Returns a reply that resets the connection of the first `fetch` and responds normally to others."""
+    fetches = itertools.count()
+
+    def reply(endpoint: ToyEndpoint, command: Command) -> None:
+        if command.verb == "fetch" and next(fetches) == 0:
+            command.sock.shutdown(socket.SHUT_RDWR)
+        else:
+            respond_normally(endpoint, command)
+
+    return reply
+
+
 def settings_of(effect: str, **changes: Any) -> dict[str, Any]:
     """Returns settings whose first class has this effect, and whose clients wait 3 s for all tries."""
     return settings_with_idempotency(effect, **{"deadline": CLASS_DEADLINE, **changes})
@@ -95,15 +110,28 @@
     retry_field: str, timeout_ms: int, status: int, fetch_count: int
 ) -> None:
     """Guards against a second effect of a client's retry, whose first try may have been executed."""
-
-    def reset_first_fetch(endpoint: ToyEndpoint, command: Command) -> None:
-        if command.verb == "fetch" and len(proxy.wait_for_fetches()) == 1:
-            command.sock.shutdown(socket.SHUT_RDWR)
-        else:
-            respond_normally(endpoint, command)
-
     settings = settings_of("idempotency_key", window=2 * SECOND)
-    with running_proxy(reset_first_fetch, settings=settings) as proxy, proxy.connect() as client:
+    with running_proxy(reply_after_one_reset(), settings=settings) as proxy, proxy.connect() as client:
         client.send(HttpClient.encode_request(timeout_ms=timeout_ms, X_Repeat=retry_field))
         assert client.read_response().status == status
         assert len(proxy.wait_for_fetches(fetch_count)) == fetch_count
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "status", "fetch_count"),
+    [(0.0, 200, 2), (1.0, REJECTED, 1)],
+    ids=["back in time", "back after the window"],
+)
+def test_rejected_write_is_served_to_a_client_that_is_back_within_the_window_of_its_key(
+    pause_s: float, status: int, fetch_count: int
+) -> None:
+    """Guards against a failure that keeps the client away, and against a second effect if it is late."""
+    settings = settings_of("idempotency_key", window=SECOND)
+    settings["limits"] = {**settings["limits"], "attempts-cap": 1}
+    with running_proxy(reply_after_one_reset(), settings=settings) as proxy, proxy.connect() as client:
+        began_at = time.monotonic()
+        assert client.request(timeout_ms=2_500).status == REJECTED
+        time.sleep(pause_s)
+        remaining_ms = int(CLASS_DEADLINE / MILLISECOND - (time.monotonic() - began_at) * 1_000)
+        assert client.request(timeout_ms=remaining_ms, X_Repeat="1").status == status
+        assert len(proxy.wait_for_fetches()) == fetch_count
