Test of an absent coordinator: no other server may reuse its port

Cause: the test closed its coordinator before it started the toy endpoints, one of which got the same ephemeral port; the proxy's poll of discovery, an HTTP request, came to it. The trace is that of test_proxy_serves_by_the_known_list _before_discovery_responds; the reuse of the port was concluded from the order of the calls, not shown.

Change: the coordinator is opened and closed after the other servers. The test asserts what it did.

--- a/tests/proxy/test_discovery_changes.py
+++ b/tests/proxy/test_discovery_changes.py
@@ -164,9 +164,10 @@
 
 def test_proxy_serves_by_the_known_list_before_discovery_responds() -> None:
     """Checks that the configuration's endpoint list is used if the coordinator is down at the start."""
-    coordinator = Coordinator()
-    coordinator.close()
     with running_proxy() as other:
+        # The coordinator ends after all other servers have their ports, so that none of them reuses its port.
+        coordinator = Coordinator()
+        coordinator.close()
         config = toy_config(coordinator=coordinator.address, known=other.coordinator.listed())
         devnull = os.open(os.devnull, os.O_WRONLY)
         proxy = ProxyServer(read_config(config, {}), devnull)
