Tests: two cases by parameters in place of a loop; plainer words

A loop over two windows is parametrized, with the same assertion; two names and a few comments of the tests say what they mean in the field's words, older ones among them.

--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -115,7 +115,7 @@
 
 
 def cache_a_is_draining(proxy: ProxyHarness) -> bool:
-    """Whether the router has been told that cache `a` is draining."""
+    """Whether the router knows that cache `a` is draining."""
     return (
         proxy.parts.event_loop._router.state.endpoints.by_id["a"].metadata.state is api.EndpointState.DRAINING
     )
--- a/tests/proxy/test_clock.py
+++ b/tests/proxy/test_clock.py
@@ -34,5 +34,5 @@
     clock.observe(clock.now() + 3_600_000_000_000)
     later = clock.from_unix(now + 3_600_000_000_000)
     assert abs(later - now) < 1_000_000_000
-    # Observing a later time does not set this clock forward, so durations measured with it stay correct.
+    # Observing a later time does not set this clock forward, so durations between its readings stay correct.
     assert clock.now() - now < 1_000_000_000
--- a/tests/proxy/test_discovery_changes.py
+++ b/tests/proxy/test_discovery_changes.py
@@ -67,7 +67,7 @@
 def test_invalidations_bound_the_age_of_cached_responses(clock_error_ms: int) -> None:
     """Checks the maximum age that the proxy sends with a request after its object was invalidated.
 
-    The maximum age is measured from the invalidation. This process reads the wall clock at its start, and an
+    The maximum age counts from the invalidation. This process reads the wall clock at its start, and an
     error of that clock must make no difference.
     """
     with running_proxy() as proxy, proxy.connect() as client:
--- a/tests/proxy/test_shutdown_exit.py
+++ b/tests/proxy/test_shutdown_exit.py
@@ -52,7 +52,7 @@
 ) -> None:
     """Regression test: the platform could kill the process before the process exited.
 
-    Here the log can't be written, because nobody reads it, and a client does not read its response. Each
+    Here the log can't be written, because no process reads it, and a client does not read its response. Each
     step of the shutdown waited for its own timeout, one step after another, and the sum of the timeouts
     could exceed the time until the kill.
     """
@@ -102,7 +102,7 @@
 def test_repeated_signals_leave_clients_their_time_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
     """Regression test: repeated signals shortened the time in which clients may close their connections.
 
-    The proxy measured this time by the number of its waits, and each signal ends a wait early.
+    The proxy calculated this time from the number of its waits, and each signal ends a wait early.
     """
     monkeypatch.setattr(shutdown, "CLIENT_CLOSE_S", 0.5)
     with running_proxy() as proxy, proxy.connect() as idle:
--- a/tests/routing/test_fleet.py
+++ b/tests/routing/test_fleet.py
@@ -41,7 +41,7 @@
 
     Each amount of work comes with the time at which it was sent.
 
-    Clients send a flood of requests, during which randomly chosen proxies restart `restarts` times in all.
+    Clients send a flood of requests, during which random proxies restart `restarts` times in all.
     """
     settings = make_settings(
         caches=api.TierSettings(proxies, 0.2, 10 * SECOND, 2.0),
--- a/tests/routing/test_idempotency.py
+++ b/tests/routing/test_idempotency.py
@@ -60,7 +60,7 @@
 def test_deduplication_scope_is_that_of_a_cache_that_has_left_the_list(
     zone: str, other_cell: int, is_retried: bool
 ) -> None:
-    """Guards against a second effect in another cell, after the cache that may have run the first is gone."""
+    """Guards against a second effect in another cell, after the cache of the first attempt was removed."""
     request_class = make_class(
         idempotency=api.Idempotency.WITH_KEY, deduplication_scope=api.DeduplicationScope.CELL
     )
@@ -161,7 +161,7 @@
 
 
 def test_window_of_a_key_begins_with_the_first_attempt_that_may_have_been_executed() -> None:
-    """Guards against a failure where a rejection is harmless: the key is remembered until 3.1 s."""
+    """Guards against a failure although a rejection is harmless: the key is remembered until 3.1 s."""
     driver = driver_with_key(2 * SECOND, max_attempts=2)
     driver.request("r")
     driver.advance(1_100 * MS)
@@ -173,7 +173,7 @@
     assert [type(action) for action in final_responses(actions)] == [api.Reject]
 
 
-def test_non_idempotent_request_in_flight_is_rejected_only_if_it_was_not_sent() -> None:
+def test_non_idempotent_request_in_flight_is_rejected_only_if_unsent() -> None:
     """Guards against a failure for a request that has only waited for its connection."""
     driver = RouterDriver(make_settings(make_class(idempotency=api.Idempotency.NOT_IDEMPOTENT)))
     driver.request("r")
@@ -199,15 +199,19 @@
     assert final_responses(actions) == [api.Fail("retry")]
 
 
-def test_retry_of_a_client_is_rejected_only_if_the_key_of_the_first_try_outlasts_the_client() -> None:
-    """Guards against a rejection where the key of the client's first try may be forgotten by its third."""
-    for window, response in ((3 * SECOND - 1, api.Fail), (3 * SECOND, api.Reject)):
-        driver = driver_with_key(window, max_attempts=2)
-        driver.request("retry", timeout=2_500 * MS, is_client_retry=True)
-        driver.advance(2 * SECOND)
-        driver.complete_attempt("retry", 0, AttemptStatus.CONNECT_FAILED)
-        actions = driver.complete_attempt("retry", 1, AttemptStatus.CONNECTION_LOST)
-        assert [type(action) for action in final_responses(actions)] == [response]
+@pytest.mark.parametrize(("window", "response"), [(3 * SECOND - 1, api.Fail), (3 * SECOND, api.Reject)])
+def test_retry_of_a_client_is_rejected_only_if_the_key_of_the_first_try_outlasts_the_client(
+    window: Duration, response: type[api.Action]
+) -> None:
+    """Guards against a rejection after which the client's third try may come when the key is forgotten."""
+    driver = driver_with_key(window, max_attempts=2)
+    driver.request("retry", timeout=2_500 * MS, is_client_retry=True)
+    driver.advance(2 * SECOND)
+    driver.complete_attempt("retry", 0, AttemptStatus.CONNECT_FAILED)
+
+    actions = driver.complete_attempt("retry", 1, AttemptStatus.CONNECTION_LOST)
+
+    assert [type(action) for action in final_responses(actions)] == [response]
 
 
 def test_retry_of_a_client_that_no_endpoint_has_got_is_rejected() -> None:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -193,7 +193,7 @@
             self._is_stopped.wait(PERSISTENT_CLIENT_INTERVAL_S)
 
     def _run_retrying_client(self, random_source: random.Random) -> None:
-        """Sends one write after another, each with a key and on a connection of its own."""
+        """Sends writes in sequence; each has a key, and its retries use the connection of its first try."""
         while not self._is_stopped.wait(PERSISTENT_CLIENT_INTERVAL_S):
             sock = self._connect()
             if sock is None:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -103,7 +103,7 @@
 
 
 @pytest.mark.parametrize(("repeated_at", "is_reported"), [(10.3, False), (10.7, True)])
-def test_oracle_counts_the_window_of_a_key_over_all_tries_of_a_client(
+def test_oracle_counts_the_window_of_a_key_over_all_requests_of_a_client(
     repeated_at: float, is_reported: bool
 ) -> None:
     oracle = Oracle("order", key_window_s=0.3)
