--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of review/6 to review/10 start beside the proxy, after the build of the deploy file: the
-# project's stand-in of the shared store needs a package of requirements-dev.txt.
+# Builds the stand-ins of review/6 to review/8, after the build of the deploy file. They need its Python alone.
 set -eu
 cd "$(dirname "$0")/.."
-.venv/bin/python -c 'import lupa' 2>/dev/null || .venv/bin/pip -q install "$(grep '^lupa==' requirements-dev.txt)"
-.venv/bin/python -m compileall -q standins review/stand_ins_2.py
+.venv/bin/python -m compileall -q review/stand_ins_2.py review/6 review/7 review/8
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -423,7 +423,8 @@
         Client._count += 1
         request_id = f"{Client._count:016x}"
         data = question.encode(request_id)
-        if self._writer is not None and time.time() - self._used_at > 4:
+        is_ended = self._reader is not None and self._reader.at_eof()
+        if is_ended or time.time() - self._used_at > 4:
             self.close()
         sent_at = time.time()
         try:
