--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
 from pathlib import Path
 
@@ -19,11 +18,9 @@
     Record,
     configuration,
     is_troubled,
-    play,
     settings,
 )
 
-FOLDER = Path(__file__).resolve().parent
 OUTAGE_S = 8.0  # "discovery is down for 8 s"
 PURGE_AFTER_S = 8.3  # from the start of the outage
 DROPPED_AFTER_S = 5.9  # a cache drops a purged copy so long after the purge; the pages allow 6 s
@@ -33,6 +30,7 @@
 SLACK_S = 0.05
 OBJECTS = [f"{number:016x}" for number in range(40)]
 GROUP = 17
+LEAST_REQUESTS = 100
 
 
 class Copies:
@@ -98,10 +96,14 @@
         copies.purged_at = time.time()
         await coordinator.add(evict={"shard": GROUP, "unix_ms": int(copies.purged_at * MS)})
         await asyncio.sleep(8)
+        front.check_running()
         for task in clients:
             task.cancel()
     finally:
         front.kill()
+    before = [sent_at for sent_at, _ in copies.served if sent_at < copies.purged_at]
+    if len(before) < LEAST_REQUESTS or (is_troubled() and not stopped):
+        raise RuntimeError(f"too little was played: {len(before)} requests, {len(stopped)} silent calls")
     told_at = copies.purged_at
     if stopped:
         last = stopped[-1]
@@ -125,7 +127,3 @@
         name = OBJECTS[(7 * count + number) % len(OBJECTS)]
         await client.ask(Question("large", name, 3_000, group=GROUP))
         await asyncio.sleep(0.08)
-
-
-if __name__ == "__main__":
-    sys.exit(play(FOLDER, case))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import sys
 import time
 from pathlib import Path
 
@@ -17,11 +16,9 @@
     Record,
     configuration,
     is_troubled,
-    play,
     settings,
 )
 
-FOLDER = Path(__file__).resolve().parent
 BEHIND_S = 7.0  # "the box list runs 2.7 to 9 s further behind"
 GRACE_S = 0.5
 SLACK_S = 0.05
@@ -63,12 +60,22 @@
             for event in late_events:
                 await new.add(endpoints=event)
         await asyncio.sleep(3)
+        front.check_running()
         for task in clients:
             task.cancel()
     finally:
         front.kill()
+    if not new.polls:
+        raise RuntimeError("the front never called the new coordinator")
+    return find_late(caches[:DRAINED], told_at, moved_at)
+
+
+def find_late(drained: list[Cache], told_at: dict[str, float], moved_at: float) -> list[str]:
+    """Returns a line for each of the caches that got a fetch after its grace."""
     broken = []
-    for cache in caches[:DRAINED]:
+    for cache in drained:
+        if not any(fetch.at < told_at[cache.name] for fetch in cache.fetches):
+            raise RuntimeError(f"too little was played: {cache.name} got nothing before its drain")
         limit = told_at[cache.name] + GRACE_S + SLACK_S
         late = [fetch.at - moved_at for fetch in cache.fetches if fetch.at > limit]
         if late:
@@ -85,7 +92,3 @@
     for count in range(10_000):
         await client.ask(Question("large", f"{number:08x}{count % 400:08x}", 3_000, group=count % 256))
         await asyncio.sleep(0.03)
-
-
-if __name__ == "__main__":
-    sys.exit(play(FOLDER, case))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,14 +8,13 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import random
 import signal
 import socket
 import subprocess
-import sys
-import tempfile
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -27,9 +26,8 @@
 LOOPBACK = "127.0.0.1"
 MS = 1_000
 NS = 1_000_000_000
-EXIT_HELD = 0
-EXIT_BROKEN = 1
-EXIT_UNUSABLE = 2
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
 
 
 def is_troubled() -> bool:
@@ -287,8 +285,13 @@
     return True
 
 
+def _die_with_case() -> None:
+    """Has the kernel kill the process that is about to start if the case ends without ending it."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Front:
-    """One proxy, started by the line `run` of the deploy file in a process group of its own."""
+    """One proxy, started by the line `run` of the deploy file which is killed if the case dies."""
 
     def __init__(
         self, name: str, folder: Path, config: dict[str, Any], operator: dict[str, Any] | None = None
@@ -330,7 +333,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                start_new_session=True,
+                preexec_fn=_die_with_case,
             )
         deadline = time.time() + 30
         while time.time() < deadline:
@@ -351,6 +354,11 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def check_running(self) -> None:
+        """Raises RuntimeError if the process has ended by itself."""
+        if self.process is None or self.process.poll() is not None:
+            raise RuntimeError(f"{self.name} has ended: {self.log_path.read_text()[-1000:]}")
+
     def kill(self) -> None:
         """Kills the process and waits for its end."""
         if self.process is not None and self.process.poll() is None:
@@ -574,29 +582,3 @@
     if has_own_copies:
         config.update(flow_bytes_per_s=310_000, link_bytes_per_s=1_240_000)
     return config
-
-
-def play(folder: Path, case: Callable[[Record, Path], Awaitable[list[str]]]) -> int:
-    """Runs a case, which returns what broke the rule; writes the record; returns the exit code."""
-    record = Record(folder / "record.txt")
-    with tempfile.TemporaryDirectory() as temporary:
-        try:
-            broken = asyncio.run(_run_case(case(record, Path(temporary))))
-        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - whatever stops it, it can't be used
-            record.add(f"the case could not run: {error!r}")
-            record.write()
-            print(f"the case could not run: {error!r}", file=sys.stderr)
-            return EXIT_UNUSABLE
-    for line in broken:
-        record.add(f"BROKEN {line}", record.started_at + 9_999)
-    record.add(f"{len(broken)} times broken", record.started_at + 9_999)
-    record.write()
-    print(f"{len(broken)} times broken" + "".join(f"\n  {line}" for line in broken[:5]))
-    return EXIT_BROKEN if broken else EXIT_HELD
-
-
-async def _run_case(case: Awaitable[list[str]]) -> list[str]:
-    """Runs a case for 110 s at most; SIGTERM ends it, so that it ends what it has started."""
-    task = asyncio.ensure_future(case)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await asyncio.wait_for(task, 110)
