--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -168,6 +168,7 @@
         ] = {}  # when an answer with the event was written, by the event's number
         self.polls = 0
         self.is_silent = False
+        self.is_chunked = False  # whether answers come in chunks, as HTTP/1.1 allows, and not with a length
         self._record = record
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -238,7 +239,12 @@
         if self.is_silent:
             await asyncio.sleep(3600)
         body = json.dumps({"index": len(self.events), "updates": self.events[follow:]}).encode()
-        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        if self.is_chunked:
+            head += "Transfer-Encoding: chunked\r\n\r\n"
+            body = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+        else:
+            head += f"Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
         await writer.drain()
         for event in self.events[follow:]:
@@ -345,8 +351,9 @@
 
     _count = int(time.time_ns())
 
-    def __init__(self, front: Front, record: Record) -> None:
+    def __init__(self, front: Front, record: Record, address: tuple[str, int] | None = None) -> None:
         self._front = front
+        self._address = address  # of a proxy between the client and the front, or None if there is none
         self._record = record
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -380,7 +387,8 @@
         head = f"{method} /api/v2/{target} HTTP/1.1\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         if self._writer is None:
-            self._reader, self._writer = await asyncio.open_connection(*self._front.address)
+            address = self._address or self._front.address
+            self._reader, self._writer = await asyncio.open_connection(*address)
         self._writer.write(head.encode() + b"\r\n" + body)
         sent = now_ms()
         self._record.note(
