Review: a run whose front is killed ends at once, whatever its clients do

In 2 of 6 runs of case 7 with a front that was killed while discovery moved, the run went on for minutes: a client's task had lost its cancellation in asyncio.wait_for, and asyncio.run waited for it.

--- a/review/play_2.py
+++ b/review/play_2.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import importlib.util
 import os
 import signal
@@ -20,6 +21,7 @@
 EXIT_BROKEN = 1
 EXIT_UNUSABLE = 2
 TIME_LIMIT_S = 100  # a run ends itself after this, with the rest of 120 s to spare
+CLEAN_UP_S = 5  # for a case that is cancelled to end what it has started
 LAST_SECOND = 9_999  # the verdict stands behind all other entries of the record
 
 
@@ -38,7 +40,7 @@
         record = module.Record(folder / "record.txt")
         record.write()
         with tempfile.TemporaryDirectory() as temporary:
-            broken = asyncio.run(_play_in_time(module.case(record, Path(temporary))))
+            broken = _play(module.case(record, Path(temporary)))
         verdict = [f"BROKEN {line}" for line in broken] + [f"{len(broken)} times broken"]
         for line in verdict:
             record.add(line, record.started_at + LAST_SECOND)
@@ -51,6 +53,25 @@
     return EXIT_BROKEN if broken else EXIT_HELD
 
 
+def _play(case: Coroutine[Any, Any, list[str]]) -> list[str]:
+    """Runs the case to its end, or cancels it at the time limit and at a signal, so that it ends its fronts.
+
+    The case's other tasks aren't waited for, as `asyncio.run` would do: in Python 3.11 `asyncio.wait_for`
+    may lose a cancellation, and a client would go on asking for minutes. They end with the process.
+    """
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    task = loop.create_task(_play_in_time(case))
+    try:
+        return loop.run_until_complete(task)
+    except BaseException:
+        if not task.done():
+            task.cancel()
+            with contextlib.suppress(BaseException):
+                loop.run_until_complete(asyncio.wait([task], timeout=CLEAN_UP_S))
+        raise
+
+
 async def _play_in_time(case: Coroutine[Any, Any, list[str]]) -> list[str]:
     return await asyncio.wait_for(case, TIME_LIMIT_S)
 
