--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import ctypes
+import errno
 import json
 import os
 import random
@@ -35,15 +36,39 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+GIVEN_PORTS: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a port on loopback that is free now, below those that the system gives to connections."""
+    """Returns a port on loopback that is free now, below those that the system gives to connections.
+
+    No port is returned twice: between its choice and its use it still looks free.
+    """
     for port in random.sample(range(20_000, 30_000), 100):
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind((LOOPBACK, port))
+            GIVEN_PORTS.add(port)
             return port
     raise RuntimeError("no free port")
 
 
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def listen(talk: Talk, port: int) -> tuple[asyncio.Server, int]:
+    """Listens on a port, or on another one if it was taken since it was chosen; returns the port, too."""
+    for _ in range(10):
+        try:
+            return await asyncio.start_server(talk, LOOPBACK, port), port
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            port = free_port()
+    raise RuntimeError("no free port to listen on")
+
+
 class Record:
     """The record of a run: one line an entry, with the seconds since the start."""
 
@@ -104,7 +129,7 @@
 
     async def start(self) -> None:
         """Listens."""
-        self._server = await asyncio.start_server(self._talk, LOOPBACK, self.port)
+        self._server, self.port = await listen(self._talk, self.port)
 
     def stop(self) -> None:
         """Ends as a process does: it listens no more and resets its connections."""
@@ -215,7 +240,7 @@
 
     async def start(self) -> None:
         """Listens."""
-        self._server = await asyncio.start_server(self._talk, LOOPBACK, self.port)
+        self._server, self.port = await listen(self._talk, self.port)
 
     def stop(self) -> None:
         """Accepts no new connection and tells nothing more; closes the open connections after 1.5 s."""
