Discovery: the next poll is sent beside an overdue one, none is given up for it

One time-out said how long a response is waited for and how long until the next poll. It doubled with failures (too long for a silent poll, 5 s where events count as notified after 3 s) and began anew at each coordinator and after each success (too short for late responses, which were thrown away).

A poll without a complete response 0.15 s after its wait stays open, and another thread sends the next one on its own connection. OpenPolls says when a poll is due, which is given up and how many bytes may be held; at most 16 polls, threads and connections, or 1/16 of the descriptors. WatchState takes responses in any order: an event is applied once, by its number; a late response is no sign of a new numbering, and one from before a new numbering is dropped. A connection that comes up late is no longer given up after 0.5 s, and a read that fails for want of memory fails no poll. New: poll_late, polls_overdue, polls_late; PollHealth logs a loss for two polls without response. Designs are weighed in docs/design.md.

One commit for both cases: each half alone makes the other case worse.

Changed tests: four name what was renamed (begin_connect for connect, open_polls.POLL_WAIT, the open poll's connection, positions in place of indices); no assert is changed.

--- a/olivepost/config/limits.py
+++ b/olivepost/config/limits.py
@@ -46,12 +46,14 @@
 # The memory for connections is divided so that there are this many client connections for each upstream
 # connection.
 CLIENTS_PER_UPSTREAM = Share(3, 2)
-# Shares of the process's file descriptors. The listener, discovery and files use the descriptors that client
-# and upstream connections leave.
+# Shares of the process's file descriptors. The listener and files use the descriptors that all connections
+# leave.
 CLIENT_SOCKETS_SHARE = Share(15, 32)  # share of the descriptors that all client connections may use
 UPSTREAM_SOCKETS_SHARE = Share(3, 8)  # share of the descriptors that all upstream connections may use
 ENDPOINT_SOCKETS_SHARE = Share(1, 16)  # share of the descriptors that the connections to one endpoint may use
+DISCOVERY_SOCKETS_SHARE = Share(1, 16)  # share of the descriptors that discovery may use
 MAX_CLIENT_CONNECTIONS = 4_096
+MAX_DISCOVERY_CONNECTIONS = 16
 MIN_CONNECTIONS_PER_ENDPOINT = 3
 # Connections to an endpoint that are allowed in addition to the number that can carry one request of each
 # client connection.
@@ -89,6 +91,8 @@
     # Maximum number of upstream connections. It includes connections that are still closing, so that
     # descriptors are left for clients.
     max_upstream_connections: int
+    # Maximum number of connections to the coordinator. There is one unless the coordinator responds late.
+    max_discovery_connections: int
 
     # Buffers
     read_buffers: int  # number of receive buffers, one for each client and upstream connection
@@ -190,6 +194,9 @@
             platform.max_sockets, connections.client, platform.requests_per_connection
         ),
         max_upstream_connections=connections.upstream,
+        max_discovery_connections=min(
+            MAX_DISCOVERY_CONNECTIONS, DISCOVERY_SOCKETS_SHARE.of(platform.max_sockets)
+        ),
         read_buffers=connections.total,
         body_buffers=bodies.buffers,
         cache_buffers=CACHE_BUFFERS_SHARE.of(bodies.buffers),
--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -14,10 +14,11 @@
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.discovery.long_poll import LongPoll
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
-from olivepost.proxy.discovery.watch_state import WatchState
+from olivepost.proxy.discovery.watch_state import WatchPosition, WatchState
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.threads import START_TIMEOUT_S
 
+DEFAULT_MAX_OPEN_POLLS = 16
 DEFAULT_MAX_RESPONSE_BYTES = 16_777_216
 
 
@@ -40,7 +41,9 @@
         post: Callable[[DiscoveryEvent | DiscoveryHeartbeat], None],
         seed: int,
     ) -> None:
-        self.max_response_bytes = DEFAULT_MAX_RESPONSE_BYTES  # the owner may lower the limit before `start`
+        # The owner may lower both limits before `start`.
+        self.max_open_polls = DEFAULT_MAX_OPEN_POLLS
+        self.max_response_bytes = DEFAULT_MAX_RESPONSE_BYTES
         self.clock = clock
         self.log = log
         self._post = post
@@ -94,29 +97,33 @@
         old_poll.stop()
         return True
 
-    def next_index(self, long_poll: LongPoll) -> int | None:
-        """Returns the index after which the next poll asks for events.
+    def next_position(self, long_poll: LongPoll) -> WatchPosition | None:
+        """Returns the position from which the next poll asks for events.
 
         Returns None if another long poll has replaced `long_poll` or the client is stopped.
         """
         with self._lock:
             if not self._is_current(long_poll):
                 return None
-            return self._watch_state.next_index
+            return self._watch_state.next_position
 
-    def accept_response(self, long_poll: LongPoll, data: object) -> DiscoveryHeartbeat | None:
-        """Applies the decoded body of a complete response; raises ConfigError if the body is invalid.
+    def accept_response(
+        self, long_poll: LongPoll, position: WatchPosition, data: object
+    ) -> DiscoveryHeartbeat | None:
+        """Applies the decoded body of the complete response to a poll from `position`.
+
+        Responses may be accepted in any order. Raises ConfigError if the body is invalid.
 
         Returns a heartbeat, a message that is posted to the event loop after the response's events. The event
         loop marks the heartbeat as handled, so that the long poll can wait until these events have been
         handled. Returns None if there is nothing to wait for, for one of these reasons: another long poll has
-        replaced `long_poll`, the client is stopped, or the response shows that events are missing or that the
-        coordinator lags behind.
+        replaced `long_poll`, the client is stopped, the coordinator has restarted its numbering since the
+        poll was sent, or the response shows that events are missing or that the coordinator lags behind.
         """
         with self._lock:
-            if not self._is_current(long_poll):
+            if not self._is_current(long_poll) or not self._watch_state.is_current(position):
                 return None
-            self._post_events(self._watch_state.apply_polled(data))
+            self._post_events(self._watch_state.apply_polled(data, position))
             if not self._watch_state.is_up_to_date:
                 return None
             heartbeat = DiscoveryHeartbeat()
--- a/olivepost/proxy/discovery/poll_connection.py
+++ b/olivepost/proxy/discovery/poll_connection.py
@@ -1,4 +1,4 @@
-"""The connection of a long poll: a socket to the coordinator, and the parser of its responses."""
+"""The connection of a poll: a socket to the coordinator, and the parser of its responses."""
 
 from __future__ import annotations
 
@@ -6,56 +6,55 @@
 
 from olivepost.config import Address
 from olivepost.proxy import http1, sockets
-from olivepost.proxy.clock import Clock
-from olivepost.units import MILLISECOND, Duration, Instant
+from olivepost.units import MILLISECOND, Duration
 
-CONNECT_TIMEOUT: Duration = 500 * MILLISECOND
+SEND_TIMEOUT: Duration = 500 * MILLISECOND
 MAX_HEAD_SIZE = 8_192  # limit of a response's status line and headers, in bytes
 RECEIVE_SIZE = 65_536  # largest number of bytes that one read takes from the socket
 
 
 class PollConnection:
-    """Open connection to a coordinator.
+    """Connection to a coordinator, which may still be being established.
 
     Any thread may call `abort`; only the polling thread calls the other methods.
     """
 
-    def __init__(self, sock: socket.socket, address: Address, max_response_bytes: int) -> None:
-        self.sock = sock
+    def __init__(self, address: Address, max_response_bytes: int) -> None:
+        """Begins to connect; raises OSError if the system refuses that at once."""
+        self.sock: socket.socket = sockets.begin_connect(address)
+        self._is_connected = False
         self._host = f"{address.host}:{address.port}"
         self._parser = http1.ResponseParser(MAX_HEAD_SIZE, max_response_bytes)
 
-    @classmethod
-    def open(
-        cls, address: Address, receive_timeout: Duration, send_timeout: Duration, max_response_bytes: int
-    ) -> PollConnection:
-        """Connects to the coordinator; raises OSError if it can't be reached."""
-        sock = sockets.connect(address, CONNECT_TIMEOUT, receive_timeout, send_timeout)
-        return cls(sock, address, max_response_bytes)
+    def wait_connected(self, timeout: Duration) -> bool:
+        """Waits until the connection is established; returns whether it is. Raises OSError if it failed."""
+        if not self._is_connected and sockets.finish_connect(self.sock, timeout):
+            sockets.configure(self.sock, receive_timeout=0, send_timeout=SEND_TIMEOUT)
+            self._is_connected = True
+        return self._is_connected
 
     def send_request(self, target: str) -> None:
         """Sends a GET request for `target`, without a body."""
         sockets.send_buffers(self.sock, [http1.request_head(target, self._host)])
 
-    def receive_response(self, clock: Clock, deadline: Instant) -> http1.Message[http1.StatusLine]:
-        """Blocks until a response is complete, and returns it.
+    def receive(self, timeout: Duration) -> int:
+        """Waits for bytes of a response; returns their number, which is 0 if the timeout passes first.
 
-        Raises OSError if the deadline passes first or the connection is lost. Raises HttpError if the
-        response is malformed.
+        Raises OSError if the connection is lost.
         """
-        while (response := self._parser.take()) is None:
-            remaining = deadline - clock.now()
-            if remaining <= 0:
-                raise TimeoutError(f"no complete response from {self._host} before the deadline")
-            sockets.set_receive_timeout(self.sock, remaining)
-            try:
-                data = self.sock.recv(RECEIVE_SIZE)
-            except BlockingIOError:  # the receive timeout has passed; the loop checks the deadline
-                continue
-            if not data:
-                raise ConnectionError(f"{self._host} closed the connection before a complete response")
-            self._parser.feed(data)
-        return response
+        sockets.set_receive_timeout(self.sock, timeout)
+        try:
+            data = sockets.receive_bytes(self.sock, RECEIVE_SIZE)
+        except BlockingIOError:
+            return 0
+        if not data:
+            raise ConnectionError(f"{self._host} closed the connection before a complete response")
+        self._parser.feed(data)
+        return len(data)
+
+    def take_response(self) -> http1.Message[http1.StatusLine] | None:
+        """Returns the response, or None if it is incomplete; raises HttpError if it is malformed."""
+        return self._parser.take()
 
     def abort(self) -> None:
         """Shuts down the socket, so that a call that waits on it ends; `close` frees the descriptor."""
--- a/olivepost/proxy/discovery/watch_state.py
+++ b/olivepost/proxy/discovery/watch_state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from olivepost import interface as api
 from olivepost.config import FieldReader
@@ -22,25 +23,52 @@
 INDEX_BEFORE_ALL_EVENTS = 0  # the coordinator's first event has index 1
 
 
+@dataclass(frozen=True, slots=True)
+class WatchPosition:
+    """A position in the coordinator's sequence of events; a poll asks for the events after it."""
+
+    index: int
+    numbering: int  # how many times the coordinator has restarted its numbering
+
+    @property
+    def is_before_all_events(self) -> bool:
+        """Whether a response to a poll from this position has all events, so that none can be missing."""
+        return self.index == INDEX_BEFORE_ALL_EVENTS
+
+
 class WatchState:
-    """Position in the coordinator's sequence of numbered events."""
+    """Position in the coordinator's sequence of numbered events.
+
+    Responses may arrive in another order than their polls were sent in, and several responses may have the
+    same events. Each event is applied once, and none is applied after a later one.
+    """
 
     def __init__(self, clock: Clock, log: EventLog) -> None:
         self.last_index = INDEX_BEFORE_ALL_EVENTS  # index of the last applied event
         self.lagging_responses = 0  # consecutive responses with an index below `last_index`
         self._clock = clock
         self._log = log
+        self._numbering = 0
         self._has_endpoints = False  # whether an endpoint update has been applied
         self._is_resyncing = False  # whether the next poll requests all events
 
     @property
-    def next_index(self) -> int:
-        """Returns the index that the next poll sends; the coordinator responds with the events after it."""
-        return INDEX_BEFORE_ALL_EVENTS if self._is_resyncing else self.last_index
+    def next_position(self) -> WatchPosition:
+        """Returns the position from which the next poll asks for events."""
+        return WatchPosition(
+            INDEX_BEFORE_ALL_EVENTS if self._is_resyncing else self.last_index, self._numbering
+        )
+
+    def is_current(self, position: WatchPosition) -> bool:
+        """Whether the coordinator has not restarted its numbering since a poll from `position` was sent.
+
+        Otherwise, the indices in the response to that poll mean other events, and it must not be applied.
+        """
+        return position.numbering == self._numbering
 
     @property
     def is_up_to_date(self) -> bool:
-        """Whether the last response left no gap in the events, and its index was not below `last_index`."""
+        """Whether no events are known to be missing, and the coordinator does not lag behind."""
         return not self._is_resyncing and self.lagging_responses == 0
 
     def apply_stored(self, data: object) -> list[DiscoveryEvent]:
@@ -50,38 +78,37 @@
         ages of the invalidations are reliable. The youngest invalidation gets age 0, since it may have been
         sent immediately before the start, and the differences between the ages are kept.
         """
-        events = self._apply(data)
+        events = self._apply(data, self.next_position)
         ages = [event.change.age for event in events if isinstance(event.change, api.Invalidation)]
         youngest_age = min(ages, default=0)
         return [_with_age(event, lambda age: age - youngest_age) for event in events]
 
-    def apply_polled(self, data: object) -> list[DiscoveryEvent]:
-        """Applies a poll's response and returns its new events, in order.
+    def apply_polled(self, data: object, position: WatchPosition) -> list[DiscoveryEvent]:
+        """Applies the response to a poll from `position`, and returns its new events, in order.
 
         Each invalidation gets age 0, because its age by this process's clock may be wrong, and an error
         towards a low age is the harmless one. An age that is too high would allow responses that are stale.
         An age that is too low only costs fills of responses that were generated after the invalidation.
         """
-        return [_with_age(event, lambda _: 0) for event in self._apply(data)]
+        return [_with_age(event, lambda _: 0) for event in self._apply(data, position)]
 
-    def _apply(self, data: object) -> list[DiscoveryEvent]:
+    def _apply(self, data: object, position: WatchPosition) -> list[DiscoveryEvent]:
         """Applies a response and returns its new events, in order; advances to the response's index.
 
         If earlier events are missing, or the coordinator has restarted its numbering, returns no events and
-        begins a resync: the next poll requests all events. A response that already belongs to a resync is
-        applied in any case. Raises ConfigError if the response has no valid indices; none of its events is
-        applied then.
+        begins a resync: the next poll requests all events. A response that has all events is applied in any
+        case. Raises ConfigError if the response has no valid indices; none of its events is applied then.
         """
         response = FieldReader("discovery response", data)
         response_index = response.integer("index", INDEX_BEFORE_ALL_EVENTS)
         new_events = self._parse_new_events(response)
-        self._count_lagging_response(response_index)
+        self._count_lagging_response(response_index, position)
         is_renumbered = self.lagging_responses >= MAX_LAGGING_RESPONSES
-        must_resync = is_renumbered or self._has_gap_before(new_events)
-        if must_resync and not self._is_resyncing:
-            self._begin_resync(response_index)
+        if position.is_before_all_events:
+            self._is_resyncing = False
+        elif is_renumbered or self._has_gap_before(new_events):
+            self._begin_resync(response_index, is_renumbered)
             return []
-        self._is_resyncing = False
         applied = [self._restored_if_first(numbered.event) for numbered in new_events if numbered.event]
         last_event_index = new_events[-1].index if new_events else self.last_index
         self.last_index = max(last_event_index, response_index)
@@ -102,10 +129,14 @@
         events.sort(key=lambda event: event.index)
         return [event for event in events if event.index > self.last_index]
 
-    def _count_lagging_response(self, response_index: int) -> None:
-        if response_index < self.last_index:
+    def _count_lagging_response(self, response_index: int, position: WatchPosition) -> None:
+        """Counts a response with an index below the one that its poll asked from.
+
+        A response with a higher index that is below `last_index` proves nothing: it is only late.
+        """
+        if response_index < position.index:
             self.lagging_responses += 1
-        else:
+        elif response_index >= self.last_index:
             self.lagging_responses = 0
 
     def _has_gap_before(self, new_events: list[NumberedEvent]) -> bool:
@@ -118,13 +149,15 @@
         first = new_events[0]
         return first.index != self.last_index + 1 and not first.is_full_update
 
-    def _begin_resync(self, response_index: int) -> None:
+    def _begin_resync(self, response_index: int, is_renumbered: bool) -> None:
         """Makes the next poll request all events from the first one; logs the gap with `response_index`."""
-        self._log.event("event_gap", last_index=self.last_index, response_index=response_index)
+        if not self._is_resyncing:
+            self._log.event("event_gap", last_index=self.last_index, response_index=response_index)
         self._is_resyncing = True
-        if self.lagging_responses:
+        if is_renumbered:
             self.last_index = INDEX_BEFORE_ALL_EVENTS
             self.lagging_responses = 0
+            self._numbering += 1
 
     def _restored_if_first(self, event: DiscoveryEvent) -> DiscoveryEvent:
         """Returns the event, with kind RESTORED if it is the first endpoint update after the start.
--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import errno
+import os
 import select
 import socket
 import struct
@@ -17,7 +18,7 @@
 from typing import TypeVar
 
 from olivepost.config import Address
-from olivepost.units import SECOND, Duration
+from olivepost.units import MILLISECOND, SECOND, Duration
 
 ResultT = TypeVar("ResultT")
 
@@ -172,6 +173,14 @@
     return _retry_on_shortage(lambda: sock.recv_into(buffer))
 
 
+def receive_bytes(sock: socket.socket, size: int) -> bytes:
+    """Receives at most `size` bytes; returns no bytes at the end of the connection.
+
+    Raises BlockingIOError at the receive timeout.
+    """
+    return _retry_on_shortage(lambda: sock.recv(size))
+
+
 def send(sock: socket.socket, data: memoryview) -> int:
     """Sends as many bytes as the system accepts; returns their number.
 
@@ -219,6 +228,37 @@
     return sock
 
 
+def begin_connect(address: Address) -> socket.socket:
+    """Begins to connect to an address, without waiting; returns the socket, which `finish_connect` needs."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.connect(address)
+    except BlockingIOError:
+        return sock
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def finish_connect(sock: socket.socket, timeout: Duration) -> bool:
+    """Waits until a socket of `begin_connect` is connected, and makes it blocking.
+
+    Returns False if the timeout passes first; the connection may then still come up. Raises the error of a
+    connection that has failed.
+    """
+    poller = select.poll()
+    poller.register(sock, select.POLLOUT)
+    if not poller.poll(-(-timeout // MILLISECOND)):
+        return False
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+    sock.setblocking(True)
+    return True
+
+
 def send_buffers(
     sock: socket.socket, parts: Iterable[bytes | memoryview], flags: int = 0
 ) -> list[memoryview]:
--- a/olivepost/proxy/wiring.py
+++ b/olivepost/proxy/wiring.py
@@ -56,6 +56,7 @@
     upstream = _build_upstream(common)
     downstream = _build_downstream(common)
     discovery = DiscoveryClient(config.coordinator, common.clock, common.log, common.events.post, config.seed)
+    discovery.max_open_polls = limits.max_discovery_connections
     discovery.max_response_bytes = limits.memory.max_discovery_response
     shared_store = _build_shared_store(common)
     resources = EventLoopResources(
--- a/tests/proxy/discovery/test_client.py
+++ b/tests/proxy/discovery/test_client.py
@@ -16,7 +16,7 @@
 from olivepost.proxy.discovery.client import DiscoveryClient
 from olivepost.proxy.discovery.long_poll import LongPoll
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
-from olivepost.proxy.discovery.watch_state import MAX_LAGGING_RESPONSES
+from olivepost.proxy.discovery.watch_state import MAX_LAGGING_RESPONSES, WatchPosition
 from olivepost.proxy.event_log import EventLog
 
 COORDINATOR = Address("127.0.0.1", 7370)
@@ -50,7 +50,21 @@
         return self.client._long_poll
 
     def receive(self, index: int, *updates: dict[str, object]) -> None:
-        self.client.accept_response(self.long_poll, {"index": index, "updates": list(updates)})
+        """Delivers the response to a poll that was sent just now."""
+        self.receive_late(self.next_position(), index, *updates)
+
+    def receive_late(self, position: WatchPosition, index: int, *updates: dict[str, object]) -> None:
+        """Delivers the response to a poll that was sent from `position`."""
+        data = {"index": index, "updates": list(updates)}
+        self.client.accept_response(self.long_poll, position, data)
+
+    def next_position(self) -> WatchPosition:
+        position = self.client.next_position(self.long_poll)
+        assert position is not None
+        return position
+
+    def next_index(self) -> int:
+        return self.next_position().index
 
     def invalidated_groups(self) -> list[int | None]:
         changes = [message.change for message in self.posted if isinstance(message, DiscoveryEvent)]
@@ -95,7 +109,7 @@
     harness.receive(4, invalidation(3), invalidation(4))
 
     assert harness.invalidated_groups() == [2, 3, 4]
-    assert harness.client.next_index(harness.long_poll) == 4
+    assert harness.next_index() == 4
     assert isinstance(harness.posted[-1], DiscoveryHeartbeat)
 
 
@@ -103,13 +117,13 @@
     harness.receive(4, invalidation(4))
 
     assert harness.invalidated_groups() == []
-    assert harness.client.next_index(harness.long_poll) == 0
+    assert harness.next_index() == 0
     assert not any(isinstance(message, DiscoveryHeartbeat) for message in harness.posted)
 
     harness.receive(4, invalidation(3), invalidation(4))
 
     assert harness.invalidated_groups() == [3, 4]
-    assert harness.client.next_index(harness.long_poll) == 4
+    assert harness.next_index() == 4
 
 
 def test_coordinator_that_renumbers_its_events_is_followed_from_the_first(harness: ClientHarness) -> None:
@@ -117,15 +131,70 @@
 
     for _ in range(MAX_LAGGING_RESPONSES - 1):
         harness.receive(1)
-        assert harness.client.next_index(harness.long_poll) == 5
+        assert harness.next_index() == 5
 
     harness.receive(1)
-    assert harness.client.next_index(harness.long_poll) == 0
+    assert harness.next_index() == 0
 
     harness.receive(1, invalidation(1))
     assert harness.invalidated_groups() == [2, 3, 4, 5, 1]
 
 
+def test_late_response_adds_no_event_twice_and_takes_none_back(harness: ClientHarness) -> None:
+    """Guards against the responses to an older poll, which may arrive after those to newer ones."""
+    first = harness.next_position()
+    harness.receive(3, invalidation(2), invalidation(3))
+    second = harness.next_position()
+    harness.receive(4, invalidation(4))
+
+    harness.receive_late(second, 3)
+    harness.receive_late(first, 2, full_update(2))
+    harness.receive_late(first, 5, *(invalidation(index) for index in range(2, 6)))
+
+    assert harness.invalidated_groups() == [2, 3, 4, 5]
+    assert harness.next_index() == 5
+
+
+def test_late_responses_are_not_taken_for_a_restart_of_the_numbering(harness: ClientHarness) -> None:
+    position = harness.next_position()
+    harness.receive(5, *(invalidation(index) for index in range(2, 6)))
+
+    for _ in range(MAX_LAGGING_RESPONSES):
+        harness.receive_late(position, 2, invalidation(2))
+
+    assert harness.next_index() == 5
+    assert harness.invalidated_groups() == [2, 3, 4, 5]
+
+
+def test_response_from_before_a_restart_of_the_numbering_is_dropped(harness: ClientHarness) -> None:
+    harness.receive(5, *(invalidation(index) for index in range(2, 6)))
+    late = harness.next_position()
+    for _ in range(MAX_LAGGING_RESPONSES):
+        harness.receive(1)
+    harness.receive(1, invalidation(1))
+    posted = len(harness.posted)
+
+    harness.receive_late(late, 6, full_update(6))
+
+    assert harness.next_index() == 1
+    assert len(harness.posted) == posted
+
+
+def test_late_response_without_a_gap_is_applied_while_all_events_are_requested(
+    harness: ClientHarness,
+) -> None:
+    late = harness.next_position()
+    harness.receive(4, invalidation(4))
+    assert harness.next_index() == 0
+
+    harness.receive_late(late, 2, invalidation(2))
+    assert harness.next_index() == 0
+
+    harness.receive(4, *(invalidation(index) for index in range(2, 5)))
+    assert harness.invalidated_groups() == [2, 3, 4]
+    assert harness.next_index() == 4
+
+
 def test_invalid_event_is_counted_and_skipped(harness: ClientHarness) -> None:
     harness.receive(3, {"index": 2, "evict": {}}, invalidation(3))
 
@@ -135,14 +204,15 @@
 
 def test_response_to_a_replaced_poll_is_dropped(harness: ClientHarness) -> None:
     replaced = harness.long_poll
+    position = harness.next_position()
 
     assert harness.client.switch_coordinator(OTHER_COORDINATOR)
     assert not harness.client.switch_coordinator(OTHER_COORDINATOR)
     assert isinstance(replaced, IdleLongPoll)
     assert replaced.is_stopped
 
-    harness.client.accept_response(replaced, {"index": 2, "updates": [invalidation(2)]})
+    harness.client.accept_response(replaced, position, {"index": 2, "updates": [invalidation(2)]})
 
     assert harness.invalidated_groups() == []
-    assert harness.client.next_index(replaced) is None
-    assert harness.client.next_index(harness.long_poll) == 1
+    assert harness.client.next_position(replaced) is None
+    assert harness.next_index() == 1
--- a/tests/proxy/discovery/test_faulty_coordinators.py
+++ b/tests/proxy/discovery/test_faulty_coordinators.py
@@ -11,7 +11,7 @@
 from examples.toy_server import Coordinator
 from olivepost import interface as api
 from olivepost.config import read_address
-from olivepost.proxy.discovery import long_poll, poll_backoff
+from olivepost.proxy.discovery import open_polls
 from tests.proxy.fakes import MS, cache_a_is_draining, draining_entries
 from tests.proxy_harness import WAIT_TIMEOUT_S, running_proxy
 
@@ -126,8 +126,8 @@
 
     The draining cache stays reachable, so it would receive a request that is wrongly sent to it.
     """
-    monkeypatch.setattr(long_poll, "POLL_WAIT", 100 * MS)
-    monkeypatch.setattr(poll_backoff, "FIRST_RESPONSE_TIMEOUT", 100 * MS)
+    monkeypatch.setattr(open_polls, "POLL_WAIT", 100 * MS)
+    monkeypatch.setattr(open_polls, "RESPONSE_PAUSE", 100 * MS)
     with running_proxy() as proxy, proxy.connect() as client:
         other = UnresponsiveCoordinator(2)
         other.events = list(proxy.coordinator.events)
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -346,8 +346,8 @@
 
     Discovery always fails to connect, so requests are routed by the configured list of known endpoints.
     """
-    connect = failing(sockets.connect, os_error(errno.ENETUNREACH), 1_000_000, "discovery")
-    monkeypatch.setattr(sockets, "connect", connect)
+    connect = failing(sockets.begin_connect, os_error(errno.ENETUNREACH), 1_000_000, "discovery")
+    monkeypatch.setattr(sockets, "begin_connect", connect)
     with running_proxy() as proxy, proxy.connect() as client:
         assert proxy.wait_until(lambda: proxy.counter("poll_failures") >= 2)
         client.send(HttpClient.encode_request())
--- a/tests/proxy/upstream/fakes.py
+++ b/tests/proxy/upstream/fakes.py
@@ -16,6 +16,7 @@
     max_client_connections=8,
     max_connections_per_endpoint=3,
     max_upstream_connections=8,
+    max_discovery_connections=4,
     read_buffers=16,
     body_buffers=16,
     cache_buffers=0,
--- a/tests/proxy/upstream/test_connections.py
+++ b/tests/proxy/upstream/test_connections.py
@@ -248,11 +248,11 @@
             for connection in endpoint.connections
         ]
         assert long_poll is not None
-        assert long_poll._connection is not None
+        (poll,) = long_poll._open_polls.snapshot()
         assert upstream
         for sock in (
             only_connection(proxy).sock,
-            long_poll._connection.sock,
+            poll.connection.sock,
             *(connection._context.sock for connection in upstream),
         ):
             assert sock is not None
