Response cache: the age of discovery counts from when a response was composed

What callers could see. A cached response could be served although an invalidation of it counted as notified: a response of discovery that was late by seconds made the proxy take its events for complete for 2 s from its arrival, also while all newer polls were silent.

DISCOVERY_VALID_FOR was counted from the handling of the response. Events that occurred after the coordinator composed it are not in it.

DiscoveryHeartbeat carries the time by which its response was composed: its arrival, or the end of its poll's wait if that is earlier. The 2 s count from there, and a late response changes nothing. PollResponse is the typed message between a long poll and its owner.

--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -12,7 +12,7 @@
 
 from olivepost.config import Address
 from olivepost.proxy.clock import Clock
-from olivepost.proxy.discovery.long_poll import LongPoll
+from olivepost.proxy.discovery.long_poll import LongPoll, PollResponse
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
 from olivepost.proxy.discovery.watch_state import WatchPosition, WatchState
 from olivepost.proxy.event_log import EventLog
@@ -107,10 +107,8 @@
                 return None
             return self._watch_state.next_position
 
-    def accept_response(
-        self, long_poll: LongPoll, position: WatchPosition, data: object
-    ) -> DiscoveryHeartbeat | None:
-        """Applies the decoded body of the complete response to a poll from `position`.
+    def accept_response(self, long_poll: LongPoll, response: PollResponse) -> DiscoveryHeartbeat | None:
+        """Applies a complete response.
 
         Responses may be accepted in any order. Raises ConfigError if the body is invalid.
 
@@ -121,12 +119,12 @@
         poll was sent, or the response shows that events are missing or that the coordinator lags behind.
         """
         with self._lock:
-            if not self._is_current(long_poll) or not self._watch_state.is_current(position):
+            if not self._is_current(long_poll) or not self._watch_state.is_current(response.position):
                 return None
-            self._post_events(self._watch_state.apply_polled(data, position))
+            self._post_events(self._watch_state.apply_polled(response.data, response.position))
             if not self._watch_state.is_up_to_date:
                 return None
-            heartbeat = DiscoveryHeartbeat()
+            heartbeat = DiscoveryHeartbeat(response.composed_by)
             self._post(heartbeat)
             return heartbeat
 
--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import threading
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -37,6 +38,17 @@
 OK_STATUS = "200"
 
 
+@dataclass(frozen=True, slots=True)
+class PollResponse:
+    """The complete response to a poll."""
+
+    position: WatchPosition  # the poll asked for the events after this position
+    # Time by which the coordinator had composed the response. It is the end of the poll's wait if the
+    # response arrives later.
+    composed_by: Instant
+    data: object  # the decoded body
+
+
 class PollOwner(Protocol):
     """Interface that a long poll needs from its owner. The threads of any long poll may call the methods."""
 
@@ -51,10 +63,8 @@
         Returns None if another long poll has replaced `long_poll` or the owner is stopped.
         """
 
-    def accept_response(
-        self, long_poll: LongPoll, position: WatchPosition, data: object
-    ) -> DiscoveryHeartbeat | None:
-        """Applies the decoded body of the complete response to a poll from `position`.
+    def accept_response(self, long_poll: LongPoll, response: PollResponse) -> DiscoveryHeartbeat | None:
+        """Applies a complete response.
 
         Returns a heartbeat, a message that the event loop marks as handled after it has handled the
         response's events. The long poll waits for that mark before it polls again. Returns None if there is
@@ -245,7 +255,8 @@
         with self._decoding_lock:
             body = orjson.loads(response.body)
             response.body = b""  # frees the received bytes before the decoded body is applied
-            heartbeat = self._owner.accept_response(self, poll.position, body)
+            composed_by = min(self._clock.now(), poll.wait_ends_at)
+            heartbeat = self._owner.accept_response(self, PollResponse(poll.position, composed_by, body))
         with self._lock:
             newer_open = self._open_polls.record_answer(poll)
         self._health.record_answer(self._clock.now() - poll.wait_ends_at, newer_open)
--- a/olivepost/proxy/exchange_lifecycle.py
+++ b/olivepost/proxy/exchange_lifecycle.py
@@ -17,9 +17,9 @@
 from olivepost.proxy.upstream.request import UpstreamCompleted, UpstreamRequest
 from olivepost.units import MILLISECOND, SECOND, Duration, Instant
 
-# Time for which cached responses may still be used after the last response of service discovery. After this
-# time, the proxy may have missed an invalidation, so it uses no cached response. This time is shorter than
-# the time within which discovery events must take effect.
+# Time for which cached responses may still be used after service discovery has composed the last response
+# that has arrived. After this time, the proxy may have missed an invalidation, so it uses no cached response.
+# This time is shorter than the time within which discovery events must take effect.
 DISCOVERY_VALID_FOR: Duration = 2 * SECOND
 
 
@@ -27,7 +27,7 @@
     """Handler of the events of requests and of attempts. `PendingExchanges` records requests and attempts.
 
     Only the event loop's thread uses the handler, which also owns two times that affect how an arriving
-    request is handled: `discovery_received_at` and `shutdown_at`.
+    request is handled: `discovery_known_until` and `shutdown_at`.
     """
 
     def __init__(
@@ -41,8 +41,9 @@
         self._upstream = resources.upstream
         self._pending = pending
         self._executor = executor
-        # Time of the last response of service discovery; None if no response has arrived since the start.
-        self.discovery_received_at: Instant | None = None
+        # Time up to which service discovery's events are known, as far as its responses tell; None if no
+        # response has arrived since the start.
+        self.discovery_known_until: Instant | None = None
         # Time at which all pending requests get their final response; None if no shutdown has begun or if
         # that time has passed.
         self.shutdown_at: Instant | None = None
@@ -51,6 +52,13 @@
 
     # Arrival and shutdown
 
+    def record_discovery(self, composed_by: Instant) -> None:
+        """Records that a response has arrived which service discovery had composed by the given time.
+
+        A response that arrives after a newer one changes nothing.
+        """
+        self.discovery_known_until = max(composed_by, self.discovery_known_until or composed_by)
+
     def receive(self, now: Instant, exchange: Exchange) -> None:
         """Handles the arrival of a client's request, which has been read completely."""
         if exchange.id in self._pending:
@@ -79,15 +87,15 @@
         """Returns the response cache's entry for a request.
 
         Returns None if the proxy uses no response cache, if the cache has no entry for the request, or if
-        service discovery has not responded within `DISCOVERY_VALID_FOR`.
+        service discovery has composed no response within `DISCOVERY_VALID_FOR` that has arrived.
         """
         if self._transfer_bytes_per_s is None or not self._is_discovery_current(now):
             return None
         return self._response_cache.get(exchange)
 
     def _is_discovery_current(self, now: Instant) -> bool:
-        received_at = self.discovery_received_at
-        return received_at is not None and now - received_at < DISCOVERY_VALID_FOR
+        known_until = self.discovery_known_until
+        return known_until is not None and now - known_until < DISCOVERY_VALID_FOR
 
     def _cached_response(self, now: Instant, entry: CacheEntry) -> api.CachedResponse:
         age = max(0, now - entry.generated_at)
--- a/olivepost/proxy/process_events.py
+++ b/olivepost/proxy/process_events.py
@@ -31,7 +31,7 @@
             case DiscoveryEvent():
                 self._discovery_changes.apply(now, event)
             case DiscoveryHeartbeat():
-                self._lifecycle.discovery_received_at = now
+                self._lifecycle.record_discovery(event.composed_by)
                 event.is_handled.set()
             case StoreEvent():
                 self._handle_store_event(now, event.event)
--- a/tests/proxy/discovery/test_client.py
+++ b/tests/proxy/discovery/test_client.py
@@ -14,12 +14,14 @@
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.discovery import client as client_module
 from olivepost.proxy.discovery.client import DiscoveryClient
-from olivepost.proxy.discovery.long_poll import LongPoll
+from olivepost.proxy.discovery.long_poll import LongPoll, PollResponse
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
 from olivepost.proxy.discovery.watch_state import MAX_LAGGING_RESPONSES, WatchPosition
 from olivepost.proxy.event_log import EventLog
+from olivepost.units import SECOND
 
 COORDINATOR = Address("127.0.0.1", 7370)
+NOW = 1_000 * SECOND
 OTHER_COORDINATOR = Address("127.0.0.1", 7380)
 
 
@@ -56,7 +58,7 @@
     def receive_late(self, position: WatchPosition, index: int, *updates: dict[str, object]) -> None:
         """Delivers the response to a poll that was sent from `position`."""
         data = {"index": index, "updates": list(updates)}
-        self.client.accept_response(self.long_poll, position, data)
+        self.client.accept_response(self.long_poll, PollResponse(position, NOW, data))
 
     def next_position(self) -> WatchPosition:
         position = self.client.next_position(self.long_poll)
@@ -211,7 +213,8 @@
     assert isinstance(replaced, IdleLongPoll)
     assert replaced.is_stopped
 
-    harness.client.accept_response(replaced, position, {"index": 2, "updates": [invalidation(2)]})
+    data = {"index": 2, "updates": [invalidation(2)]}
+    harness.client.accept_response(replaced, PollResponse(position, NOW, data))
 
     assert harness.invalidated_groups() == []
     assert harness.client.next_position(replaced) is None
--- a/tests/proxy/discovery/test_long_poll.py
+++ b/tests/proxy/discovery/test_long_poll.py
@@ -17,7 +17,7 @@
 from olivepost.proxy import sockets
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.discovery import long_poll, open_polls
-from olivepost.proxy.discovery.long_poll import LongPoll
+from olivepost.proxy.discovery.long_poll import LongPoll, PollResponse
 from olivepost.proxy.discovery.messages import DiscoveryHeartbeat
 from olivepost.proxy.discovery.watch_state import WatchPosition
 from olivepost.proxy.event_log import EventLog
@@ -44,11 +44,9 @@
         self.threads.add(threading.get_ident())
         return WatchPosition(1, 0)
 
-    def accept_response(
-        self, _long_poll: LongPoll, _position: WatchPosition, data: object
-    ) -> DiscoveryHeartbeat | None:
-        assert isinstance(data, dict)
-        self.accepted.append(data["index"])
+    def accept_response(self, _long_poll: LongPoll, response: PollResponse) -> DiscoveryHeartbeat | None:
+        assert isinstance(response.data, dict)
+        self.accepted.append(response.data["index"])
         return None
 
 
--- a/tests/proxy/test_cached_responses.py
+++ b/tests/proxy/test_cached_responses.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from typing import Any
 
 import pytest
 
-from examples.toy_server import Command, ToyEndpoint, body_of, respond_normally, tag_of
+from examples.toy_server import Command, Coordinator, ToyEndpoint, body_of, respond_normally, tag_of
 from olivepost.proxy.exchange_lifecycle import DISCOVERY_VALID_FOR
 from tests.proxy.fakes import DelayedReplies
 from tests.proxy_harness import OBJECT_NAME, HttpClient, ProxyHarness, running_proxy
@@ -20,7 +21,7 @@
 
     The first response is not stored because the name is new. The second one is stored.
     """
-    assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_received_at)
+    assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_known_until)
     for _ in range(3):
         assert client.request().body == body_of(OBJECT_NAME, "3")
     assert proxy.counter("cached_responses_served") == 1
@@ -50,7 +51,7 @@
         request_until_cached(proxy, client)
         proxy.coordinator.close()
         assert proxy.wait_until(lambda: proxy.counter("poll_failures") >= 2)
-        proxy.parts.event_loop._lifecycle.discovery_received_at = (
+        proxy.parts.event_loop._lifecycle.discovery_known_until = (
             proxy.parts.clock.now() - DISCOVERY_VALID_FOR
         )
         assert client.request().status == 200
@@ -81,7 +82,7 @@
 def test_response_in_flight_at_its_invalidation_is_not_stored() -> None:
     delayed_replies = DelayedReplies()
     with running_proxy(delayed_replies, **CACHE_CONFIG) as proxy, proxy.connect() as client:
-        assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_received_at)
+        assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_known_until)
         delayed_replies.may_reply.set()
         assert client.request().status == 200
         delayed_replies.may_reply.clear()
@@ -96,7 +97,27 @@
 
 def request_repeatedly(proxy: ProxyHarness, client: HttpClient) -> None:
     """Sends two requests for the same object and waits until a response is stored."""
-    assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_received_at)
+    assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_known_until)
     for _ in range(2):
         assert client.request().status == 200
     assert proxy.wait_until(lambda: len(proxy.parts.response_cache) == 1)
+
+
+def test_no_cached_response_is_served_for_a_late_response_of_service_discovery(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a late response that is taken for a sign that no invalidation has been missed.
+
+    The coordinator composed it long ago, and an invalidation since then may already count as notified.
+    """
+
+    def reply_late(_coordinator: Coordinator, sock: socket.socket, data: bytes) -> None:
+        time.sleep(2.5)
+        sock.sendall(data)
+
+    with running_proxy(**CACHE_CONFIG) as proxy, proxy.connect() as client:
+        request_until_cached(proxy, client)
+        monkeypatch.setattr(Coordinator, "reply", reply_late)
+        assert proxy.wait_until(lambda: proxy.counter("polls_late") >= 2)
+        assert client.request().status == 200
+        assert proxy.counter("cached_responses_served") == 1
--- a/tests/proxy/test_writes.py
+++ b/tests/proxy/test_writes.py
@@ -73,7 +73,7 @@
 def test_write_is_not_answered_from_the_response_cache() -> None:
     rates: dict[str, Any] = {"flow_bytes_per_s": 100_000_000, "link_bytes_per_s": 400_000_000}
     with running_proxy(serve_writes, settings=write_settings(), **rates) as proxy, proxy.connect() as client:
-        assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_received_at)
+        assert proxy.wait_until(lambda: proxy.parts.event_loop._lifecycle.discovery_known_until)
         for count in range(1, 5):
             client.send(put_request())
             assert client.read_response().status == 200
