Discovery: polls follow each other after a switch, so that no burst waits a second

A poll is used up by the first event that it is answered with. While that response is on its way nobody asks for the next event, up to 1.15 s.

After a switch polls are sent 0.5 s apart from the first on, until one is answered, as they are while responses are known to be late.

--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -90,7 +90,7 @@
             # The timeout is 0, so that this thread does not wait until the system can start a thread. During
             # such a wait, the old poll could not apply its events, because this thread holds the lock, and no
             # signal would be handled.
-            long_poll = LongPoll(self, coordinator, self._random.random())
+            long_poll = LongPoll(self, coordinator, self._random.random(), is_replacement=True)
             long_poll.start(timeout_s=0.0)
             self._long_poll = long_poll
             self._address = coordinator
--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -88,7 +88,8 @@
     thread waits for its own poll only, and then ends unless it claims the next poll.
     """
 
-    def __init__(self, owner: PollOwner, address: Address, seed: float) -> None:
+    def __init__(self, owner: PollOwner, address: Address, seed: float, is_replacement: bool = False) -> None:
+        """Creates a long poll, which may be the replacement of another coordinator's."""
         self._owner = owner
         self._clock = owner.clock
         self.log = owner.log
@@ -99,7 +100,7 @@
         # Held while a response is decoded and applied, which needs several times the memory of its bytes.
         self._decoding_lock = threading.Lock()
         self._lock = threading.Lock()
-        self._open_polls = OpenPolls(owner.max_open_polls, owner.max_response_bytes)
+        self._open_polls = OpenPolls(owner.max_open_polls, owner.max_response_bytes, is_replacement)
         self._is_next_poll_claimed = True  # by the first thread
 
     def start(self, timeout_s: float) -> None:
--- a/olivepost/proxy/discovery/open_polls.py
+++ b/olivepost/proxy/discovery/open_polls.py
@@ -71,17 +71,19 @@
 class OpenPolls:
     """The open polls of one coordinator, from the oldest to the newest.
 
-    At most `max_polls` may be open. `max_response_bytes` limits the bytes of incomplete responses. The oldest
-    poll may receive as many, and all other polls together may receive as many.
+    At most `max_polls` may be open. If `is_catching_up` is set, events may wait at the coordinator, and the
+    next polls are sent before the first one is overdue. `max_response_bytes` limits the bytes of incomplete
+    responses: the oldest poll may receive as many, and all other polls together may receive as many.
     """
 
-    def __init__(self, max_polls: int, max_response_bytes: int) -> None:
+    def __init__(self, max_polls: int, max_response_bytes: int, is_catching_up: bool) -> None:
         self._polls: list[OpenPoll] = []
+        self._is_catching_up = is_catching_up  # until the first answer
         self._max_polls = max_polls
         self._max_response_bytes = max_response_bytes
-        # While responses are late, a poll is answered at once if it asks for events that older polls have not
-        # brought yet, and later events need another poll. The polls are spread over the time for which a
-        # response is of use, so that none has to be given up within that time.
+        # A poll is answered at once if it asks for events that older polls have not brought yet, and later
+        # events need another poll. While responses are late, polls are therefore spread over the time for
+        # which a response is of use, so that none has to be given up within that time.
         self._late_poll_interval: Duration = (POLL_WAIT + EVENT_DELAY_LIMIT) // max_polls
 
     @property
@@ -98,8 +100,8 @@
     def next_due_at(self) -> Instant:
         """Returns the time at which the next poll is sent if the newest one is still open."""
         newest = self._polls[-1]
-        asks_for_all_events = newest.position.is_before_all_events
-        if self.unanswered_count == 1 or asks_for_all_events:
+        is_late = self.unanswered_count > 1 or self._is_catching_up
+        if not is_late or newest.position.is_before_all_events:
             return newest.overdue_at
         return min(newest.overdue_at, newest.began_at + self._late_poll_interval)
 
@@ -124,6 +126,7 @@
 
         Returns the number of newer ones.
         """
+        self._is_catching_up = False
         position = self._polls.index(answered)
         for poll in self._polls[:position]:
             poll.is_superseded = True
--- a/tests/proxy/discovery/late_coordinator.py
+++ b/tests/proxy/discovery/late_coordinator.py
@@ -52,8 +52,13 @@
     after: int  # the poll asks for the events after this index
     reply: Reply
     up_to: int = 0  # index of the last event in the response
+    composed_at: float = float("inf")
     ended_at: float = float("inf")  # time at which the response was sent or broken off
 
+    def is_complete(self, index: int) -> bool:
+        """Whether the poll has a complete response with the event."""
+        return self.reply.kind is ReplyKind.COMPLETE and self.after < index <= self.up_to
+
 
 @dataclass
 class EventFeed:
@@ -121,6 +126,7 @@
         with self._feed.changed:
             self._feed.changed.wait_for(lambda: self._feed.last_index > after, poll.wait_s)
             poll.up_to = self._feed.last_index
+            poll.composed_at = time.monotonic()
             body = json.dumps(self._feed.events_after(after)).encode()
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
         if poll.reply.kind is not ReplyKind.COMPLETE:
--- a/tests/proxy/discovery/test_late_responses.py
+++ b/tests/proxy/discovery/test_late_responses.py
@@ -79,6 +79,7 @@
 }
 LATE_RUNS = {
     **{f"switch, {delay_s} s late": switch(delay_s) for delay_s in (0.0, 1.0, 2.5, 3.9)},
+    "switch in a burst, 3.6 s late": switch(3.6, publish_at_s=(0.0, 0.2)),
     **{f"steadily {delay_s} s late": steady(delay_s) for delay_s in (0.0, 0.3, 1.0, 2.8, 4.0, 6.8)},
     "from prompt to 4 s late and back": sudden(0.0, 4.0),
     "from prompt to 6.8 s late and back": sudden(0.0, 6.8),
