Discovery: a response that is on its way at SIGHUP is still applied

What callers could see. With the old coordinator 5.5 s and the new one 3.5 s late, an event published 4.5 s before SIGHUP was known 8.0 s after it was published, 1 s after it counted as notified.

Cause. switch_coordinator aborted all polls of the old coordinator. The new one sends their events again, but later.

Polls whose wait has ended stay open until the new coordinator has responded (LongPoll.retire), since their responses were composed before the switch. Polls that are still in their wait are aborted as before, and a response that was composed after the switch is dropped. A second switch ends the wait of the first, so that threads and connections don't add up.

--- a/olivepost/proxy/discovery/client.py
+++ b/olivepost/proxy/discovery/client.py
@@ -17,6 +17,7 @@
 from olivepost.proxy.discovery.watch_state import WatchPosition, WatchState
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.threads import START_TIMEOUT_S
+from olivepost.units import Instant
 
 DEFAULT_MAX_OPEN_POLLS = 16
 DEFAULT_MAX_RESPONSE_BYTES = 16_777_216
@@ -27,10 +28,10 @@
 
     While the coordinator is unreachable or its responses are invalid, the last endpoint list stays in force.
 
-    Any thread may call the methods. `_lock` guards `_address`, `_long_poll` and `_watch_state`. Events are
-    posted while the lock is held, so that they reach the event loop in order. `stop` does not take the lock,
-    because the end of the process must not wait for a response that is being applied. `stop` sets
-    `_is_stopped`, which is never reset.
+    Any thread may call the methods. `_lock` guards `_address`, `_long_poll`, `_retired`, `_switched_at` and
+    `_watch_state`. Events are posted while the lock is held, so that they reach the event loop in order.
+    `stop` does not take the lock, because the end of the process must not wait for a response that is being
+    applied. `stop` sets `_is_stopped`, which is never reset.
     """
 
     def __init__(
@@ -51,6 +52,9 @@
         self._lock = threading.Lock()
         self._address = coordinator
         self._long_poll: LongPoll | None = None  # None before `start`
+        # The long poll of the coordinator before, until the new one has responded; None if there is none.
+        self._retired: LongPoll | None = None
+        self._switched_at: Instant | None = None  # None before the first switch
         self._is_stopped = False
         self._watch_state = WatchState(clock, log)
 
@@ -72,16 +76,18 @@
         applied.
         """
         self._is_stopped = True
-        if self._long_poll is not None:
-            self._long_poll.stop()
+        for long_poll in (self._long_poll, self._retired):
+            if long_poll is not None:
+                long_poll.stop()
 
     def switch_coordinator(self, coordinator: Address) -> bool:
         """Starts to poll another coordinator immediately, from the last applied index; returns True.
 
         Returns False and changes nothing if the address is the same or the client is not running. A response
-        that still arrives at the old poll is dropped, and the new poll receives the events of that response
-        again. Each event is therefore applied only once. Raises RuntimeError if the system can't start a
-        thread; the old poll then continues.
+        that the old coordinator composed before the switch is still applied if it arrives before the new one
+        has responded. Later ones are dropped. The new coordinator sends the events of all these responses
+        again, and each event is applied only once. Raises RuntimeError if the system can't start a thread;
+        the old poll then continues.
         """
         with self._lock:
             old_poll = self._long_poll
@@ -94,7 +100,10 @@
             long_poll.start(timeout_s=0.0)
             self._long_poll = long_poll
             self._address = coordinator
-        old_poll.stop()
+            self._switched_at = self.clock.now()
+            self._stop_retired()
+            self._retired = old_poll
+        old_poll.retire()
         return True
 
     def next_position(self, long_poll: LongPoll) -> WatchPosition | None:
@@ -119,11 +128,12 @@
         poll was sent, or the response shows that events are missing or that the coordinator lags behind.
         """
         with self._lock:
-            if not self._is_current(long_poll) or not self._watch_state.is_current(response.position):
+            if not self._is_applicable(long_poll, response):
                 return None
             self._post_events(self._watch_state.apply_polled(response.data, response.position))
-            if not self._watch_state.is_up_to_date:
+            if not self._watch_state.is_up_to_date or not self._is_current(long_poll):
                 return None
+            self._stop_retired()
             heartbeat = DiscoveryHeartbeat(response.composed_by)
             self._post(heartbeat)
             return heartbeat
@@ -131,6 +141,23 @@
     def _is_current(self, long_poll: LongPoll) -> bool:
         return long_poll is self._long_poll and not self._is_stopped
 
+    def _is_applicable(self, long_poll: LongPoll, response: PollResponse) -> bool:
+        """Whether a response is applied; the caller holds the lock."""
+        is_from_before_switch = (
+            long_poll is self._retired
+            and self._switched_at is not None
+            and response.composed_by <= self._switched_at
+            and not self._is_stopped
+        )
+        is_expected = self._is_current(long_poll) or is_from_before_switch
+        return is_expected and self._watch_state.is_current(response.position)
+
+    def _stop_retired(self) -> None:
+        """Ends the wait for responses of the coordinator before; the caller holds the lock."""
+        if self._retired is not None:
+            self._retired.stop()
+            self._retired = None
+
     def _post_events(self, events: list[DiscoveryEvent]) -> None:
         for event in events:
             self._post(event)
--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -115,6 +115,20 @@
             for poll in self._open_polls.snapshot():
                 poll.connection.abort()
 
+    def retire(self) -> None:
+        """Ends the polling, but still waits for responses that the coordinator must have composed already.
+
+        These are the responses of polls whose wait has ended. All other polls are aborted.
+        """
+        self._health.stop()
+        self._is_stopped.set()
+        with self._lock:
+            now = self._clock.now()
+            for poll in self._open_polls.snapshot():
+                poll.is_superseded = True
+                if now < poll.wait_ends_at:
+                    poll.connection.abort()
+
     def _run(self) -> None:
         """Sends the next poll, which this thread has claimed, and further ones until another thread does."""
         connection: PollConnection | None = None
@@ -214,7 +228,8 @@
             check_at = min(poll.expires_at, now + MAX_RECEIVE_WAIT)
             if now >= poll.expires_at:
                 raise TimeoutError("no complete response before the poll was given up")
-            if self._is_next_poll_claimed or not self._open_polls.is_newest(poll):
+            is_newest = self._open_polls.is_newest(poll)
+            if self._is_next_poll_claimed or not is_newest or self._is_stopped.is_set():
                 return check_at - now
             next_due_at = self._open_polls.next_due_at
             if now < next_due_at:
--- a/tests/proxy/discovery/test_late_responses.py
+++ b/tests/proxy/discovery/test_late_responses.py
@@ -77,6 +77,11 @@
         for delay_s in (0.0, 1.0, 1.9)
     },
 }
+ON_ITS_WAY_AT_A_SWITCH = [
+    Step(1.5, always(PROMPT)),
+    Step(5.0, always(late(5.5)), (0.0, 0.5)),  # the first event makes way for a poll of this step
+    Step(1.0, always(late(3.5)), switches=True, is_old_silenced=False),
+]
 LATE_RUNS = {
     **{f"switch, {delay_s} s late": switch(delay_s) for delay_s in (0.0, 1.0, 2.5, 3.9)},
     "switch in a burst, 3.6 s late": switch(3.6, publish_at_s=(0.0, 0.2)),
@@ -84,6 +89,7 @@
     "from prompt to 4 s late and back": sudden(0.0, 4.0),
     "from prompt to 6.8 s late and back": sudden(0.0, 6.8),
     "from 4 s late to prompt and back": sudden(4.0, 0.0),
+    "on its way at a switch": ON_ITS_WAY_AT_A_SWITCH,
     "varying": [Step(12.0, cycle(0.1, 5.0, 0.0, 2.8, 6.8, 1.0, 4.0), EVERY_700_MS)],
 }
 
