Discovery: the claim to the next poll has a module of its own; a switch is no loss

PollSchedule now holds that state: the open polls and which thread sends the next one. LongPoll keeps the exchange.

Only polls that are overdue count now.

--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -16,11 +16,11 @@
 
 from olivepost.config import Address, ConfigError
 from olivepost.proxy.clock import Clock
-from olivepost.proxy.discovery import open_polls
 from olivepost.proxy.discovery.messages import DiscoveryHeartbeat
 from olivepost.proxy.discovery.open_polls import OpenPoll, OpenPolls
 from olivepost.proxy.discovery.poll_connection import PollConnection
 from olivepost.proxy.discovery.poll_health import PollHealth
+from olivepost.proxy.discovery.poll_schedule import PollSchedule
 from olivepost.proxy.discovery.watch_state import WatchPosition
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.http1 import HttpError, Message, StatusLine
@@ -33,8 +33,6 @@
 # Shortest time between two polls. A coordinator that answers every poll immediately would otherwise keep a
 # CPU core busy.
 MIN_POLL_INTERVAL: Duration = 20 * MILLISECOND
-# Longest time until a thread that waits for a response checks whether its poll has been superseded.
-MAX_RECEIVE_WAIT: Duration = 1 * SECOND
 OK_STATUS = "200"
 
 
@@ -83,9 +81,9 @@
 class LongPoll:
     """The polls of one coordinator from `start` until `stop`.
 
-    Any thread may call `start` and `stop`. `_lock` guards `_open_polls` and `_is_next_poll_claimed`. The
-    thread that has claimed the next poll is the only one that may send it, and alone uses `_polled_at`. A
-    thread waits for its own poll only, and then ends unless it claims the next poll.
+    Any thread may call `start`, `stop` and `retire`. `PollSchedule` says which thread sends the next poll;
+    that thread alone uses `_polled_at`. A thread waits for its own poll only, and then ends unless it sends
+    the next one.
     """
 
     def __init__(self, owner: PollOwner, address: Address, seed: float, is_replacement: bool = False) -> None:
@@ -99,9 +97,8 @@
         self._polled_at: Instant | None = None  # time at which the last poll began; None before the first
         # Held while a response is decoded and applied, which needs several times the memory of its bytes.
         self._decoding_lock = threading.Lock()
-        self._lock = threading.Lock()
-        self._open_polls = OpenPolls(owner.max_open_polls, owner.max_response_bytes, is_replacement)
-        self._is_next_poll_claimed = True  # by the first thread
+        open_polls = OpenPolls(owner.max_open_polls, owner.max_response_bytes, is_replacement)
+        self._schedule = PollSchedule(owner.clock, open_polls)
 
     def start(self, timeout_s: float) -> None:
         """Starts the first thread; raises RuntimeError if the system can't start one within the timeout."""
@@ -111,9 +108,7 @@
         """Ends the polling and aborts the open polls."""
         self._health.stop()
         self._is_stopped.set()
-        with self._lock:
-            for poll in self._open_polls.snapshot():
-                poll.connection.abort()
+        self._schedule.stop()
 
     def retire(self) -> None:
         """Ends the polling, but still waits for responses that the coordinator must have composed already.
@@ -122,12 +117,7 @@
         """
         self._health.stop()
         self._is_stopped.set()
-        with self._lock:
-            now = self._clock.now()
-            for poll in self._open_polls.snapshot():
-                poll.is_superseded = True
-                if now < poll.wait_ends_at:
-                    poll.connection.abort()
+        self._schedule.retire()
 
     def _run(self) -> None:
         """Sends the next poll, which this thread has claimed, and further ones until another thread does."""
@@ -149,7 +139,9 @@
             if outcome is not PollOutcome.ANSWERED:
                 connection.close()
                 connection = None
-            has_claim, backoff_s = self._end_poll(poll, outcome)
+            has_failed = outcome is PollOutcome.FAILED
+            backoff_s = self._health.draw_backoff_s() if has_failed else 0.0
+            has_claim = self._schedule.end(poll, has_failed)
         if connection is not None:
             connection.close()
 
@@ -177,11 +169,7 @@
             self._health.record_unexpected_error()
             return None
         poll = OpenPoll(connection, position, self._clock.now())
-        with self._lock:
-            self._open_polls.add(poll)
-            self._is_next_poll_claimed = False
-        if self._is_stopped.is_set():  # `stop` may not have seen the poll
-            connection.abort()
+        self._schedule.begin(poll)
         return poll
 
     def _attempt(self, poll: OpenPoll) -> PollOutcome:
@@ -206,58 +194,34 @@
         connection = poll.connection
         while not connection.wait_connected(self._time_to_wait(poll)):
             pass
-        wait_ms = open_polls.POLL_WAIT // MILLISECOND
-        connection.send_request(f"/v2/stream?follow={poll.position.index}&wait_ms={wait_ms}")
-        with self._lock:
-            poll.sent_at = self._clock.now()
+        connection.send_request(poll.target)
+        self._schedule.record_sent(poll)
         while (response := connection.take_response()) is None:
             size = connection.receive(self._time_to_wait(poll))
             if size:
-                with self._lock:
-                    self._open_polls.record_bytes(poll, size, self._clock.now())
+                self._schedule.record_bytes(poll, size)
         return response
 
     def _time_to_wait(self, poll: OpenPoll) -> Duration:
         """Returns how long to wait for a poll's response until the next check of the poll.
 
-        If the poll is overdue and no other thread sends the next poll, first has another thread send it.
-        Raises OSError if the poll is given up.
+        Has another thread send the next poll if that is due. Raises OSError if this poll is given up.
         """
-        with self._lock:
-            now = self._clock.now()
-            check_at = min(poll.expires_at, now + MAX_RECEIVE_WAIT)
-            if now >= poll.expires_at:
-                raise TimeoutError("no complete response before the poll was given up")
-            is_newest = self._open_polls.is_newest(poll)
-            if self._is_next_poll_claimed or not is_newest or self._is_stopped.is_set():
-                return check_at - now
-            next_due_at = self._open_polls.next_due_at
-            if now < next_due_at:
-                return min(check_at, next_due_at) - now
-            self._is_next_poll_claimed = True
-            unanswered = self._open_polls.unanswered_count
-        self._health.record_overdue(unanswered)
-        self._start_next_poll(poll)
-        return check_at - now
+        check = self._schedule.check(poll)
+        if check.is_next_poll_due:
+            self._health.record_overdue(check.overdue_count)
+            self._start_next_poll(poll)
+        return check.wait
 
     def _start_next_poll(self, overdue: OpenPoll) -> None:
-        """Has another thread send the next poll, which the calling thread has claimed.
-
-        If there may be no further thread, the thread of the least useful poll gives that poll up and sends
-        the next one.
-        """
-        with self._lock:
-            may_start_thread = not self._open_polls.is_full
-        if may_start_thread:
+        """Has another thread send the next poll, or this one if there is no other."""
+        if self._schedule.may_start_thread:
             try:
                 start_thread(self._run, "discovery")
                 return
             except (RuntimeError, MemoryError):
                 self.log.increment("threads_short")
-        with self._lock:
-            replaced = self._open_polls.least_useful() or overdue
-            replaced.is_reassigned = True
-            replaced.connection.abort()
+        self._schedule.reassign(overdue)
 
     def _accept(self, poll: OpenPoll, response: Message[StatusLine]) -> None:
         """Passes a complete response to the owner, and waits until its events are handled.
@@ -273,25 +237,7 @@
             response.body = b""  # frees the received bytes before the decoded body is applied
             composed_by = min(self._clock.now(), poll.wait_ends_at)
             heartbeat = self._owner.accept_response(self, PollResponse(poll.position, composed_by, body))
-        with self._lock:
-            newer_open = self._open_polls.record_answer(poll)
+        newer_open = self._schedule.record_answer(poll)
         self._health.record_answer(self._clock.now() - poll.wait_ends_at, newer_open)
         if heartbeat is not None:
             heartbeat.is_handled.wait(HANDLING_TIMEOUT_S)
-
-    def _end_poll(self, poll: OpenPoll, outcome: PollOutcome) -> tuple[bool, float]:
-        """Removes a poll that has ended; returns whether this thread sends the next poll, and its backoff.
-
-        After a failure, the lost response is asked for again at once, unless a newer poll was answered.
-        """
-        with self._lock:
-            is_newest = self._open_polls.is_newest(poll)
-            self._open_polls.remove(poll)
-            if poll.is_reassigned:
-                return True, 0.0
-            has_failed = outcome is PollOutcome.FAILED
-            is_needed = is_newest or (has_failed and not poll.is_superseded)
-            if self._is_next_poll_claimed or not is_needed:
-                return False, 0.0
-            self._is_next_poll_claimed = True
-            return True, self._health.draw_backoff_s() if has_failed else 0.0
--- a/olivepost/proxy/discovery/open_polls.py
+++ b/olivepost/proxy/discovery/open_polls.py
@@ -49,6 +49,11 @@
     # Whether the poll was given up so that its thread sends the next poll.
     is_reassigned: bool = False
 
+    @property
+    def target(self) -> str:
+        """Returns the request target of the poll."""
+        return f"/v2/stream?follow={self.position.index}&wait_ms={POLL_WAIT // MILLISECOND}"
+
     @property
     def wait_ends_at(self) -> Instant:
         """Returns the time by which the coordinator has to respond."""
@@ -96,6 +101,10 @@
         """Returns the number of open polls since the last one that was answered."""
         return sum(not poll.is_superseded for poll in self._polls)
 
+    def overdue_count(self, now: Instant) -> int:
+        """Returns the number of overdue polls since the last one that was answered."""
+        return sum(poll.overdue_at <= now and not poll.is_superseded for poll in self._polls)
+
     @property
     def next_due_at(self) -> Instant:
         """Returns the time at which the next poll is sent if the newest one is still open."""
--- a/olivepost/proxy/discovery/poll_health.py
+++ b/olivepost/proxy/discovery/poll_health.py
@@ -46,11 +46,12 @@
         if has_recovered:
             self._log.event("discovery_recovered")
 
-    def record_overdue(self, unanswered: int) -> None:
-        """Records that the newest of `unanswered` open polls is overdue."""
-        self._log.increment("polls_overdue")
-        if unanswered > 1:
-            self._record_loss(f"{unanswered} polls in a row have no complete response yet")
+    def record_overdue(self, count: int) -> None:
+        """Records that a poll is sent while this many are overdue."""
+        if count > 0:
+            self._log.increment("polls_overdue")
+        if count > 1:
+            self._record_loss(f"{count} polls in a row have no complete response yet")
 
     def record_failure(self, error: Exception) -> None:
         """Records that a poll failed whose response is needed."""
