--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -43,15 +43,21 @@
 
 
 def idle_connection(proxy: ProxyHarness) -> ConnectionLifecycle:
-    """Waits until the only client connection is idle and no thread holds its lock; returns the connection.
-
-    The connection is idle once its response is written.
-    """
+    """Waits until the only client connection is idle and no thread holds its lock; returns the connection."""
     connection = only_connection(proxy)
-    assert proxy.wait_until(lambda: connection.is_idle and not connection.lock.locked())
+    wait_until_idle(proxy, [connection])
     return connection
 
 
+def wait_until_idle(proxy: ProxyHarness, connections: list[ConnectionLifecycle]) -> None:
+    """Waits until client connections are idle and no thread holds their locks.
+
+    A connection is idle once its response is written. A client may have its response before the thread that
+    wrote the response has released the connection's lock.
+    """
+    assert proxy.wait_until(lambda: all(c.is_idle and not c.lock.locked() for c in connections))
+
+
 def no_attempt_was_sent(proxy: ProxyHarness) -> bool:
     """Whether no endpoint has received a `fetch` command."""
     return not any(endpoint.received() for endpoint in proxy.endpoints)
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -1,57 +1,31 @@
-"""Tests of temporary failures of system calls and thread starts, which must not lose any request."""
+"""Tests of temporary failures of system calls, which must not lose any request."""
 
 from __future__ import annotations
 
-import _thread
 import contextlib
 import errno
 import itertools
-import os
 import socket
 import threading
 import time
-from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from olivepost.proxy import sockets
-from olivepost.proxy.discovery import long_poll
 from olivepost.proxy.downstream.listener import ACCEPT_TIMEOUT
-from olivepost.proxy.server import ConfigurationSource
-from olivepost.proxy.upstream import writer
 from olivepost.units import SECOND
-from tests.proxy.fakes import MS, DelayedReplies, no_attempt_was_sent
+from tests.proxy.failing_calls import (
+    SHORTAGES,
+    TEST_THREAD_PREFIXES,
+    failing,
+    failure_scores,
+    os_error,
+    recv_with_failing_peeks,
+)
+from tests.proxy.fakes import DelayedReplies, wait_until_idle
 from tests.proxy_harness import HttpClient, ProxyHarness, running_proxy
 
-# Name prefixes of the threads that run the test's client and the toy endpoints.
-TEST_THREAD_PREFIXES = ("MainThread", "Thread-")
-SHORTAGES = [errno.ENOBUFS, errno.ENOMEM]
-ORIGINAL_RECV = socket.socket.recv
-
-
-def failing(
-    call: Callable[..., Any], error: Exception, times: int, thread_prefix: str = ""
-) -> Callable[..., Any]:
-    """Returns a function that raises `error` the first `times` times and then does what `call` does.
-
-    Only calls on threads whose name begins with `thread_prefix` fail.
-    """
-    failures = iter(range(times))
-
-    def fail_first(*args: Any, **kwargs: Any) -> Any:
-        is_affected = threading.current_thread().name.startswith(thread_prefix)
-        if is_affected and next(failures, None) is not None:
-            raise error
-        return call(*args, **kwargs)
-
-    return fail_first
-
-
-def os_error(error_number: int) -> OSError:
-    return OSError(error_number, os.strerror(error_number))
-
 
 @pytest.mark.parametrize(
     "error_number",
@@ -101,15 +75,6 @@
             client.sock.close()
 
 
-def test_connection_is_served_though_no_thread_is_free_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    start = failing(_thread.start_new_thread, RuntimeError("can't start new thread"), 5)
-    with running_proxy() as proxy:
-        monkeypatch.setattr(_thread, "start_new_thread", start)
-        with proxy.connect() as client:
-            assert client.request().status == 200
-        assert proxy.counter("threads_short") == 5
-
-
 @pytest.mark.parametrize("error_number", SHORTAGES)
 @pytest.mark.parametrize("name", ["recv", "recv_into", "send", "sendmsg"])
 def test_transfer_continues_after_a_shortage_of_memory(
@@ -134,14 +99,6 @@
             assert (status, bool(body)) == (200, True)
 
 
-def recv_with_failing_peeks(sock: socket.socket, size: int, flags: int = 0) -> bytes:
-    """Receives as `socket.recv` does, but raises an OSError (ENOBUFS) for every non-blocking peek."""
-    peek = socket.MSG_PEEK | socket.MSG_DONTWAIT
-    if flags & peek == peek:
-        raise os_error(errno.ENOBUFS)
-    return ORIGINAL_RECV(sock, size, flags)
-
-
 def test_peeks_that_fail_for_good_delay_no_other_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     """Regression test: connections whose received bytes can't be peeked at delayed other connections.
 
@@ -152,9 +109,7 @@
         for client in clients:
             assert client.request().status == 200
         connections = proxy.parts.downstream.connections.snapshot()
-        # A client may have its response before the thread that wrote the response has released the lock, so
-        # the test waits for the release.
-        assert proxy.wait_until(lambda: all(c.is_idle and not c.lock.locked() for c in connections))
+        wait_until_idle(proxy, connections)
         monkeypatch.setattr(socket.socket, "recv", recv_with_failing_peeks)
         began_at = time.monotonic()
         for connection in connections[:10]:
@@ -220,11 +175,6 @@
             assert client.read_response().status == 200
 
 
-def failure_scores(proxy: ProxyHarness) -> list[float]:
-    endpoints = proxy.parts.event_loop.router.state.endpoints.by_id.values()
-    return [endpoint.failure_score for endpoint in endpoints]
-
-
 @pytest.mark.parametrize("error_number", [*SHORTAGES, errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL])
 def test_connect_that_fails_by_a_local_error_is_repeated_and_charged_to_no_endpoint(
     error_number: int, monkeypatch: pytest.MonkeyPatch
@@ -236,32 +186,6 @@
         assert failure_scores(proxy) == [0.0] * 4
 
 
-def test_shortage_of_threads_is_charged_to_no_endpoint(monkeypatch: pytest.MonkeyPatch) -> None:
-    def start(*_: object) -> threading.Thread:
-        raise RuntimeError("can't start new thread")
-
-    monkeypatch.setattr(writer, "start_thread", start)
-    with running_proxy() as proxy, proxy.connect() as client:
-        assert client.request().status == 503
-        assert no_attempt_was_sent(proxy)
-        assert failure_scores(proxy) == [0.0] * 4
-
-
-def test_shortage_of_reader_threads_is_charged_to_no_endpoint(monkeypatch: pytest.MonkeyPatch) -> None:
-    error = RuntimeError("can't start new thread")
-    original_start = threading.Thread.start
-
-    def start(thread: threading.Thread) -> None:
-        if thread.name == "upstream-reader":
-            raise error
-        original_start(thread)
-
-    monkeypatch.setattr(threading.Thread, "start", start)
-    with running_proxy() as proxy, proxy.connect() as client:
-        assert client.request(timeout_ms=4_000).status == 503
-        assert failure_scores(proxy) == [0.0] * 4
-
-
 def test_start_waits_for_an_address_that_is_in_use() -> None:
     earlier = socket.create_server(("127.0.0.1", 0))
     port = earlier.getsockname()[1]
@@ -272,66 +196,6 @@
     proxy.close()
 
 
-def test_start_waits_for_threads(monkeypatch: pytest.MonkeyPatch) -> None:
-    error = RuntimeError("can't start new thread")
-    original_start = threading.Thread.start
-    start = failing(original_start, error, 20)
-
-    def start_late(thread: threading.Thread) -> None:
-        if thread.name.startswith(TEST_THREAD_PREFIXES):
-            original_start(thread)
-        else:
-            start(thread)
-
-    monkeypatch.setattr(threading.Thread, "start", start_late)
-    with running_proxy() as proxy, proxy.connect() as client:
-        assert client.request().status == 200
-
-
-def test_reload_without_a_thread_leaves_discovery_unchanged(monkeypatch: pytest.MonkeyPatch) -> None:
-    def start(*_: object) -> threading.Thread:
-        raise RuntimeError("can't start new thread")
-
-    with running_proxy() as proxy, running_proxy() as other:
-        assert proxy.coordinator.wait_for_poll(1)
-        host, _, port = other.coordinator.address.rpartition(":")
-        address = type(proxy.parts.config.coordinator)(host, int(port))
-        with monkeypatch.context() as patch:
-            patch.setattr(long_poll, "start_thread", start)
-            with pytest.raises(RuntimeError):
-                proxy.parts.discovery.switch_coordinator(address)
-        polls = proxy.coordinator.polls
-        assert proxy.coordinator.wait_for_poll(polls + 1)  # the old coordinator is still polled
-        # Threads can be started again, so the next reload succeeds.
-        assert proxy.parts.discovery.switch_coordinator(address)
-
-
-def test_reload_waits_for_no_thread_and_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Regression test: a reload waited for seconds until a thread could be started.
-
-    Meanwhile, the main thread handled no signal, and the events that the running poll received were not
-    applied.
-    """
-    with running_proxy() as proxy, running_proxy() as other:
-        assert proxy.coordinator.wait_for_poll(1)
-        host, _, port = other.coordinator.address.rpartition(":")
-        address = type(proxy.parts.config.coordinator)(host, int(port))
-        moved = replace(proxy.parts.config, coordinator=address)
-        proxy.server._source = ConfigurationSource(lambda: moved, lambda: None)
-        polls = other.coordinator.polls
-        with monkeypatch.context() as patch:
-            error = RuntimeError("can't start new thread")
-            start = failing(threading.Thread.start, error, 1_000_000, "MainThread")
-            patch.setattr(threading.Thread, "start", start)
-            began_at = time.monotonic()
-            proxy.server.reload()
-            assert time.monotonic() < began_at + 1
-        assert other.coordinator.polls == polls
-        # The main thread repeats the failed reload during this wait, as it does while `run` waits.
-        proxy.server._wait_until(proxy.parts.clock.now() + 200 * MS)
-        assert other.coordinator.wait_for_poll(polls + 2)
-
-
 def test_event_loop_outlives_errors_outside_of_events(monkeypatch: pytest.MonkeyPatch) -> None:
     with running_proxy() as proxy, proxy.connect() as client:
         loop = proxy.parts.event_loop
@@ -352,18 +216,3 @@
         assert proxy.wait_until(lambda: proxy.counter("poll_failures") >= 2)
         client.send(HttpClient.encode_request())
         assert client.read_response().status == 200
-
-
-def test_connection_that_waits_for_a_thread_is_not_evicted_for_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against evicting a connection that waits for its reader thread.
-
-    The connection may wait for longer than `MIN_IDLE_BEFORE_EVICTION`, and its request may arrive meanwhile.
-    """
-    start = failing(_thread.start_new_thread, RuntimeError("can't start new thread"), 30)
-    with running_proxy() as proxy:
-        monkeypatch.setattr(_thread, "start_new_thread", start)
-        with proxy.connect() as client:
-            assert proxy.wait_until(lambda: proxy.counter("threads_short") >= 20)
-            client.send(HttpClient.encode_request(timeout_ms=15_000))
-            assert client.read_response().status == 200
-        assert proxy.counter("connections_evicted") == 0
