--- a/tests/proxy/test_shutdown_exit.py
+++ b/tests/proxy/test_shutdown_exit.py
@@ -139,3 +139,31 @@
         assert client.read_response().status == 200
         client.sock.close()
         shutdown_thread.join(WAIT_TIMEOUT_S)
+
+
+@pytest.mark.usefixtures("small_send_buffer", "short_shutdown")
+def test_slow_reader_does_not_delay_the_exit_past_the_kill() -> None:
+    """Guards against log lines that are lost because a slow client delays the exit.
+
+    The platform kills the process when the grace period ends, even if log lines are not written yet.
+    """
+    with running_proxy(reply_with_large_body, bounds={"slow_client_timeout": 5 * SECOND}) as proxy:
+        slow_client = request_with_small_receive_buffer(proxy, timeout_ms=15_000)
+        assert proxy.wait_until(lambda: proxy.counter("slow_clients") == 1)
+        is_over = threading.Event()
+
+        def read_slowly() -> None:
+            while not is_over.wait(0.1):
+                slow_client.recv(1_000)
+
+        reader = threading.Thread(target=read_slowly)
+        reader.start()
+        shutdown_thread = threading.Thread(target=proxy.server.shut_down)
+        shutdown_thread.start()
+        shutdown_thread.join(kill_after_s())
+        is_late = shutdown_thread.is_alive()
+        is_over.set()
+        reader.join()
+        slow_client.close()
+        shutdown_thread.join(WAIT_TIMEOUT_S)
+        assert not is_late
