--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -2,7 +2,7 @@
 
 One thread polls while the coordinator responds in time. A thread whose poll is overdue goes on waiting for
 its response, and starts another thread that sends the next poll on a connection of its own. Such a thread
-ends when it has its response. The coordinator gets no more polls in this way than if it responded on time.
+ends when it has its response. `OpenPolls` bounds how many polls are open, and how soon they are sent.
 """
 
 from __future__ import annotations
