Discovery: polls are spread once one is overdue, not while several are in their wait

Found by reading. While two polls were open the next followed after 0.5 s, also if the coordinator still held both as it was asked to. With the present bound of 16 polls the older one is answered just before the next would be due, so polls returned to one a second; a smaller interval or a little delay would have kept two connections in use for good. Now polls are spread from the time at which one is overdue, or after a switch until the first answer.

test_polls_that_the_coordinator_may_still_hold_are_not_late fails before and passes here; test_coordinator_that_responds_in_time_again_gets_one_poll_a_second passes before and after.

--- a/olivepost/proxy/discovery/open_polls.py
+++ b/olivepost/proxy/discovery/open_polls.py
@@ -96,11 +96,6 @@
         """Whether no further poll may be open."""
         return len(self._polls) >= self._max_polls
 
-    @property
-    def unanswered_count(self) -> int:
-        """Returns the number of open polls since the last one that was answered."""
-        return sum(not poll.is_superseded for poll in self._polls)
-
     def overdue_count(self, now: Instant) -> int:
         """Returns the number of overdue polls since the last one that was answered."""
         return sum(poll.overdue_at <= now and not poll.is_superseded for poll in self._polls)
@@ -109,10 +104,12 @@
     def next_due_at(self) -> Instant:
         """Returns the time at which the next poll is sent if the newest one is still open."""
         newest = self._polls[-1]
-        is_late = self.unanswered_count > 1 or self._is_catching_up
-        if not is_late or newest.position.is_before_all_events:
+        if newest.position.is_before_all_events:
             return newest.overdue_at
-        return min(newest.overdue_at, newest.began_at + self._late_poll_interval)
+        late_from = [poll.overdue_at for poll in self._polls if not poll.is_superseded]
+        if self._is_catching_up:
+            late_from.append(newest.began_at)
+        return min(newest.overdue_at, max(newest.began_at + self._late_poll_interval, min(late_from)))
 
     def snapshot(self) -> list[OpenPoll]:
         """Returns the open polls."""
--- a/tests/proxy/discovery/test_late_responses.py
+++ b/tests/proxy/discovery/test_late_responses.py
@@ -65,6 +65,10 @@
     return [Step(1.5, always(PROMPT), (0.2,)), Step(4.0, once(reply, late(delay_s)), (0.9,))]
 
 
+PROMPT_AFTER_A_SWITCH = [
+    Step(1.0, always(PROMPT)),
+    Step(8.0, always(PROMPT), switches=True),
+]
 SUDDEN_DELAY_OF_A_BURST = [
     Step(2.0, always(PROMPT)),
     Step(2.0, always(late(6.95)), (0.0, 0.3, 0.35)),  # the first event makes way for a poll of this step
@@ -96,7 +100,10 @@
 
 @pytest.fixture(scope="module")
 def runs() -> dict[str, DiscoveryRun]:
-    steps_by_name = SILENT_RUNS | LATE_RUNS | {"sudden delay of a burst": SUDDEN_DELAY_OF_A_BURST}
+    steps_by_name = SILENT_RUNS | LATE_RUNS
+    steps_by_name["sudden delay of a burst"] = SUDDEN_DELAY_OF_A_BURST
+    steps_by_name["prompt after a switch"] = PROMPT_AFTER_A_SWITCH
+    steps_by_name["prompt after a delay"] = [Step(4.0, always(late(2.0))), Step(8.0, always(PROMPT))]
     played = {name: DiscoveryRun(steps) for name, steps in steps_by_name.items()}
     play_all(list(played.values()))
     return played
@@ -124,3 +131,13 @@
     The response with the earlier event is on its way, and the next poll is sent when that one is overdue.
     """
     assert runs["sudden delay of a burst"].observed.violations() == []
+
+
+@pytest.mark.parametrize("name", ["prompt after a switch", "prompt after a delay"])
+def test_coordinator_that_responds_in_time_again_gets_one_poll_a_second(
+    runs: dict[str, DiscoveryRun], name: str
+) -> None:
+    """Guards against polls that go on overlapping, because each is sent before an older one is answered."""
+    polls = runs[name].observed.coordinators[-1].polls
+    until = polls[-1].asked_at
+    assert len([poll for poll in polls if poll.asked_at > until - 4.5]) <= 5
--- a/tests/proxy/discovery/test_open_polls.py
+++ b/tests/proxy/discovery/test_open_polls.py
@@ -59,8 +59,14 @@
 
 
 def test_polls_are_spread_over_the_time_for_which_responses_may_be_late() -> None:
-    polls = polls_of(sent_poll(), sent_poll(START + SECOND), max_polls=16)
-    assert polls.next_due_at == START + SECOND + (POLL_WAIT + EVENT_DELAY_LIMIT) // 16
+    second = WAIT_END + RESPONSE_PAUSE
+    polls = polls_of(sent_poll(), sent_poll(second), max_polls=16)
+    assert polls.next_due_at == second + (POLL_WAIT + EVENT_DELAY_LIMIT) // 16
+
+
+def test_polls_that_the_coordinator_may_still_hold_are_not_late() -> None:
+    polls = polls_of(sent_poll(), sent_poll(START + 100 * MILLISECOND), max_polls=16)
+    assert polls.next_due_at == WAIT_END + RESPONSE_PAUSE
 
 
 def test_few_polls_are_spread_no_wider_than_the_wait_of_each() -> None:
