Discovery: overlapping polls of a lagging coordinator count as one response

Three responses with lower numbers in a row are taken for a new numbering. A lagging response counts now only if its poll was sent after the one before was counted, so that three of them take as long as three polls in a row.

--- a/olivepost/proxy/discovery/watch_state.py
+++ b/olivepost/proxy/discovery/watch_state.py
@@ -29,6 +29,7 @@
 
     index: int
     numbering: int  # how many times the coordinator has restarted its numbering
+    lagging_responses: int = 0  # consecutive responses with lower indices when the poll was sent
 
     @property
     def is_before_all_events(self) -> bool:
@@ -55,9 +56,8 @@
     @property
     def next_position(self) -> WatchPosition:
         """Returns the position from which the next poll asks for events."""
-        return WatchPosition(
-            INDEX_BEFORE_ALL_EVENTS if self._is_resyncing else self.last_index, self._numbering
-        )
+        index = INDEX_BEFORE_ALL_EVENTS if self._is_resyncing else self.last_index
+        return WatchPosition(index, self._numbering, self.lagging_responses)
 
     def is_current(self, position: WatchPosition) -> bool:
         """Whether the coordinator has not restarted its numbering since a poll from `position` was sent.
@@ -132,10 +132,12 @@
     def _count_lagging_response(self, response_index: int, position: WatchPosition) -> None:
         """Counts a response with an index below the one that its poll asked from.
 
-        A response with a higher index that is below `last_index` proves nothing: it is only late.
+        The responses to polls that were open at the same time count as one, since they tell no more of the
+        coordinator than one. A response with a higher index that is below `last_index` proves nothing: it is
+        only late.
         """
         if response_index < position.index:
-            self.lagging_responses += 1
+            self.lagging_responses = max(self.lagging_responses, position.lagging_responses + 1)
         elif response_index >= self.last_index:
             self.lagging_responses = 0
 
--- a/tests/proxy/discovery/test_client.py
+++ b/tests/proxy/discovery/test_client.py
@@ -174,6 +174,21 @@
     assert harness.invalidated_groups() == [2, 3, 4, 5]
 
 
+def test_overlapping_polls_of_a_lagging_coordinator_count_as_one(harness: ClientHarness) -> None:
+    """Guards against a lagging coordinator that is taken for a new numbering the sooner for more polls."""
+    harness.receive(5, *(invalidation(index) for index in range(2, 6)))
+    overlapping = harness.next_position()
+
+    for _ in range(MAX_LAGGING_RESPONSES):
+        harness.receive_late(overlapping, 1)
+    assert harness.next_index() == 5
+
+    for _ in range(MAX_LAGGING_RESPONSES - 1):
+        assert harness.next_index() == 5
+        harness.receive(1)
+    assert harness.next_index() == 0
+
+
 def test_response_from_before_a_restart_of_the_numbering_is_dropped(harness: ClientHarness) -> None:
     harness.receive(5, *(invalidation(index) for index in range(2, 6)))
     late = harness.next_position()
