Discovery: responses are read in every form that HTTP/1.1 allows, not with a length alone

Cause: one parser for requests and responses. Its refusal of any transfer coding, right for requests, made each poll for these events fail for good. The log names it ("Transfer-Encoding is not supported"); later events were not applied either.

Change: the package `http1` has a parser each for requests (unchanged in what it accepts) and responses. `ResponseParser` follows RFC 9112, section 6.3: chunks with extensions and trailer fields, lengths (also repeated), bodies up to the close, none for 204, 304 and interim responses, folded fields, later minor versions. Malformed responses are recognized at the first byte that shows it, so that one costs one poll; a head without CR was waited for until the poll was given up.

--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -23,7 +23,7 @@
 from olivepost.proxy.discovery.poll_schedule import PollSchedule
 from olivepost.proxy.discovery.watch_state import WatchPosition
 from olivepost.proxy.event_log import EventLog
-from olivepost.proxy.http1 import HttpError, Message, StatusLine
+from olivepost.proxy.http1.messages import HttpError, Message, StatusLine
 from olivepost.proxy.threads import start_thread
 from olivepost.units import MILLISECOND, SECOND, Duration, Instant
 
@@ -74,7 +74,7 @@
     """How a poll has ended."""
 
     ANSWERED = "its response was applied, and the connection can be used again"
-    ANSWERED_AND_CLOSED = "its response was applied, and the coordinator closes the connection"
+    ANSWERED_AND_CLOSED = "its response was applied, and the connection can't be used again"
     FAILED = "it has no valid response"
 
 
@@ -182,12 +182,16 @@
                 self._health.record_unneeded_failure()
             else:
                 self._health.record_failure(error)
+                if poll.received_bytes:
+                    self._health.record_faulty_response(poll.position.index, error)
             return PollOutcome.FAILED
         except Exception:  # top level of the thread: no unexpected error may end discovery
             self.log.exception("discovery_error")
             self._health.record_unexpected_error()
             return PollOutcome.FAILED
-        return PollOutcome.ANSWERED if response.keeps_alive else PollOutcome.ANSWERED_AND_CLOSED
+        if poll.connection.can_be_used_after(response):
+            return PollOutcome.ANSWERED
+        return PollOutcome.ANSWERED_AND_CLOSED
 
     def _exchange(self, poll: OpenPoll) -> Message[StatusLine]:
         """Returns the complete response to a poll. Raises OSError, or HttpError if it is malformed."""
--- a/olivepost/proxy/discovery/poll_connection.py
+++ b/olivepost/proxy/discovery/poll_connection.py
@@ -5,7 +5,10 @@
 import socket
 
 from olivepost.config import Address
-from olivepost.proxy import http1, sockets
+from olivepost.proxy import sockets
+from olivepost.proxy.http1.encoding import request_head
+from olivepost.proxy.http1.messages import Message, StatusLine
+from olivepost.proxy.http1.response_parser import ResponseParser
 from olivepost.units import MILLISECOND, Duration
 
 SEND_TIMEOUT: Duration = 500 * MILLISECOND
@@ -24,7 +27,7 @@
         self.sock: socket.socket = sockets.begin_connect(address)
         self._is_connected = False
         self._host = f"{address.host}:{address.port}"
-        self._parser = http1.ResponseParser(MAX_HEAD_SIZE, max_response_bytes)
+        self._parser = ResponseParser(MAX_HEAD_SIZE, max_response_bytes)
 
     def wait_connected(self, timeout: Duration) -> bool:
         """Waits until the connection is established; returns whether it is. Raises OSError if it failed."""
@@ -35,27 +38,32 @@
 
     def send_request(self, target: str) -> None:
         """Sends a GET request for `target`, without a body."""
-        sockets.send_buffers(self.sock, [http1.request_head(target, self._host)])
+        sockets.send_buffers(self.sock, [request_head(target, self._host)])
 
     def receive(self, timeout: Duration) -> int:
         """Waits for bytes of a response; returns their number, which is 0 if the timeout passes first.
 
-        Raises OSError if the connection is lost.
+        Returns 0, too, if the coordinator closes the connection and the close completes the response. Raises
+        OSError if the connection is lost.
         """
         sockets.set_receive_timeout(self.sock, timeout)
         try:
             data = sockets.receive_bytes(self.sock, RECEIVE_SIZE)
         except BlockingIOError:
             return 0
-        if not data:
+        if not data and not self._parser.close():
             raise ConnectionError(f"{self._host} closed the connection before a complete response")
         self._parser.feed(data)
         return len(data)
 
-    def take_response(self) -> http1.Message[http1.StatusLine] | None:
+    def take_response(self) -> Message[StatusLine] | None:
         """Returns the response, or None if it is incomplete; raises HttpError if it is malformed."""
         return self._parser.take()
 
+    def can_be_used_after(self, response: Message[StatusLine]) -> bool:
+        """Whether another poll can be sent on the connection after a response."""
+        return response.keeps_alive and not self._parser.is_closed
+
     def abort(self) -> None:
         """Shuts down the socket, so that a call that waits on it ends; `close` frees the descriptor."""
         sockets.shutdown(self.sock)
--- a/olivepost/proxy/discovery/poll_health.py
+++ b/olivepost/proxy/discovery/poll_health.py
@@ -9,6 +9,10 @@
 from olivepost.proxy.event_log import EventLog
 from olivepost.units import MILLISECOND, Duration
 
+# Number of consecutive faulty responses to polls from the same index that is logged. The coordinator then has
+# events that can't be received, not only a short disruption.
+MAX_FAULTY_RESPONSES = 3
+
 
 class PollHealth:
     """Whether a coordinator responds, as the threads of its long poll report it.
@@ -24,6 +28,8 @@
         self._backoff = PollBackoff(seed)
         self._is_lost = False
         self._is_stopped = False
+        self._faulty_index: int | None = None  # index of the last faulty response; None after an answer
+        self._faulty_responses = 0  # consecutive faulty responses to polls from this index
 
     def stop(self) -> None:
         """Ends the log of losses, since polls that are aborted at the end of polling are none."""
@@ -37,6 +43,7 @@
         """
         with self._lock:
             self._backoff.record_success()
+            self._faulty_index = None
             has_recovered = self._is_lost and newer_open <= 1
             if has_recovered:
                 self._is_lost = False
@@ -60,6 +67,26 @@
             self._backoff.record_failure()
         self._record_loss(str(error) or type(error).__name__)
 
+    def record_faulty_response(self, index: int, error: Exception) -> None:
+        """Records that a poll from `index` failed although bytes of its response had arrived.
+
+        The failure was recorded before. Logs that the events after `index` can't be received, once
+        `MAX_FAULTY_RESPONSES` such polls have failed in a row.
+        """
+        self._log.increment("poll_responses_faulty")
+        with self._lock:
+            self._faulty_responses = self._faulty_responses + 1 if index == self._faulty_index else 1
+            self._faulty_index = index
+            is_repeated = self._faulty_responses == MAX_FAULTY_RESPONSES
+        if is_repeated:
+            self._log.event(
+                "poll_responses_faulty",
+                after_index=index,
+                count=MAX_FAULTY_RESPONSES,
+                error=type(error).__name__,
+                reason=str(error),
+            )
+
     def record_unneeded_failure(self) -> None:
         """Records that a poll failed whose response is not needed any more."""
         self._log.increment("poll_failures")
--- a/olivepost/proxy/downstream/connection_admission.py
+++ b/olivepost/proxy/downstream/connection_admission.py
@@ -16,7 +16,7 @@
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.eviction import ConnectionEvictor
 from olivepost.proxy.downstream.response_writer import ResponseWriters
-from olivepost.proxy.http1 import response_head
+from olivepost.proxy.http1.encoding import response_head
 from olivepost.units import SECOND
 
 SLOT_RETRY_INTERVAL_S = 0.02  # pause between two attempts to evict a connection at the connection cap
--- a/olivepost/proxy/downstream/connection_lifecycle.py
+++ b/olivepost/proxy/downstream/connection_lifecycle.py
@@ -12,7 +12,8 @@
 from olivepost.proxy.downstream.body_budget import LargeBodyReservation
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.exchange import Exchange
-from olivepost.proxy.http1 import RequestParser, response_head
+from olivepost.proxy.http1.encoding import response_head
+from olivepost.proxy.http1.request_parser import RequestParser
 from olivepost.units import MILLISECOND, SECOND, Duration, Instant
 
 # Time for the client to close its side after the proxy's half-close. Without this time, a reset could
--- a/olivepost/proxy/downstream/request_reader.py
+++ b/olivepost/proxy/downstream/request_reader.py
@@ -9,7 +9,7 @@
 from olivepost.proxy.downstream.context import DownstreamContext
 from olivepost.proxy.downstream.routes import ALLOW_HEADER, build_exchange, is_health_check
 from olivepost.proxy.exchange import Exchange, RequestReceived, Response
-from olivepost.proxy.http1 import HttpError, Message, RequestLine
+from olivepost.proxy.http1.messages import HttpError, Message, RequestLine
 from olivepost.units import Duration, Instant
 
 # Maximum number of bytes that are received and dropped after the proxy's half-close. The connection is closed
--- a/olivepost/proxy/downstream/response_encoding.py
+++ b/olivepost/proxy/downstream/response_encoding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from olivepost.proxy.exchange import Response, ResponseKind
-from olivepost.proxy.http1 import response_head
+from olivepost.proxy.http1.encoding import response_head
 from olivepost.units import MILLISECOND
 
 
--- a/olivepost/proxy/downstream/routes.py
+++ b/olivepost/proxy/downstream/routes.py
@@ -7,7 +7,7 @@
 
 from olivepost.interface import ClassSettings
 from olivepost.proxy.exchange import Exchange, Response
-from olivepost.proxy.http1 import HttpError, Message, RequestLine
+from olivepost.proxy.http1.messages import HttpError, Message, RequestLine
 from olivepost.units import MILLISECOND, Instant
 
 HEALTH_TARGET = "/-/healthy"
--- a/tests/proxy/test_routes.py
+++ b/tests/proxy/test_routes.py
@@ -13,7 +13,7 @@
 from olivepost.proxy.downstream.response_encoding import encode_response
 from olivepost.proxy.downstream.routes import build_exchange, is_health_check
 from olivepost.proxy.exchange import Exchange, Response, ResponseKind
-from olivepost.proxy.http1 import HttpError, Message, RequestLine
+from olivepost.proxy.http1.messages import HttpError, Message, RequestLine
 from tests.router_harness import make_class
 
 MS = 1_000_000
