Discovery: a connection is used again only if it is open and nothing follows the response

A second response behind the first was taken for the response to the next poll, so that its events counted as those after another index; and a coordinator that closes after each response without announcing it cost a failed poll, a backoff and discovery_lost each time.

Cause: the connection was used again unless the head announced a close; what came after the response was not looked at (RFC 9112, sections 9.2 and 9.5).

Change: the connection is dropped if bytes follow the response, or if, just before the next poll, bytes or the close have arrived; the poll then goes on a new connection at once.

Both new tests fail without the change and pass with it.

--- a/olivepost/proxy/discovery/long_poll.py
+++ b/olivepost/proxy/discovery/long_poll.py
@@ -160,6 +160,9 @@
     ) -> OpenPoll | None:
         """Registers the claimed poll, which ends the claim; returns None if it can't begin to connect."""
         try:
+            if connection is not None and not connection.is_reusable:
+                connection.close()
+                connection = None
             connection = connection or PollConnection(self._address, self._owner.max_response_bytes)
         except OSError as error:
             self._health.record_failure(error)
--- a/olivepost/proxy/discovery/poll_connection.py
+++ b/olivepost/proxy/discovery/poll_connection.py
@@ -61,8 +61,17 @@
         return self._parser.take()
 
     def can_be_used_after(self, response: Message[StatusLine]) -> bool:
-        """Whether another poll can be sent on the connection after a response."""
-        return response.keeps_alive and not self._parser.is_closed
+        """Whether another poll can be sent on the connection after a response.
+
+        Bytes that follow the response belong to no poll, and must not be taken for the response to the next
+        one (RFC 9112, section 9.2).
+        """
+        return response.keeps_alive and self._parser.is_idle and not self._parser.is_closed
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the coordinator has neither closed the idle connection nor sent anything on it."""
+        return sockets.peek(self.sock) is sockets.PeekResult.NO_BYTES
 
     def abort(self) -> None:
         """Shuts down the socket, so that a call that waits on it ends; `close` frees the descriptor."""
--- a/tests/proxy/discovery/test_response_forms.py
+++ b/tests/proxy/discovery/test_response_forms.py
@@ -125,3 +125,28 @@
         coordinator.forms = [Form(in_chunks)]
         invalidate(coordinator, range(1))
         assert proxy.wait_until(knows_all(proxy, range(1)))
+
+
+def test_bytes_after_a_response_are_not_taken_for_the_next_one() -> None:
+    """Guards against a second response to one poll, which would be taken for that to the next poll."""
+    twice = Form(lambda body: in_chunks(body) + with_length(b'{"index":9,"updates":[]}'))
+    coordinator = EncodingCoordinator(twice, Form(with_length))
+    with proxy_with(coordinator) as proxy:
+        assert coordinator.wait_for_poll(1)
+        invalidate(coordinator, range(1))
+        assert proxy.wait_until(knows_all(proxy, range(1)))
+        invalidate(coordinator, range(1, 2))
+        assert proxy.wait_until(knows_all(proxy, range(1, 2)))
+        assert proxy.parts.discovery._watch_state.last_index == 3
+        assert coordinator.connection_count == 2
+        assert proxy.counter("poll_failures") == FAILURES_AT_SWITCH
+
+
+def test_connection_that_is_closed_without_an_announcement_costs_no_poll() -> None:
+    """Guards against a poll that fails because the coordinator closed the idle connection before it."""
+    coordinator = EncodingCoordinator(Form(with_length, ends_with_connection=True))
+    with proxy_with(coordinator) as proxy:
+        for group in range(5):
+            invalidate(coordinator, range(group, group + 1))
+            assert proxy.wait_until(knows_all(proxy, range(group, group + 1)))
+        assert proxy.counter("poll_failures") == FAILURES_AT_SWITCH
