Clients: a close is noticed behind unread bytes, so that nothing is sent on for who has left

Cause, two parts. `is_closed_by_peer` said no wherever received bytes waited in front of the close. And behind more than the receive window holds the close arrives only once the bytes are read, which went on 4 KB at a time.

Change: `poll` is asked for the close where bytes wait.

--- a/olivepost/proxy/downstream/context.py
+++ b/olivepost/proxy/downstream/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import mmap
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -13,6 +14,10 @@
 from olivepost.proxy.event_log import EventLog
 from olivepost.proxy.exchange import RequestAbandoned, RequestReceived
 
+# Size of the buffer for bytes that are dropped. It is many times that of a read buffer, so that a client that
+# sends much and then closes its connection is noticed soon.
+DROP_BUFFER_BYTES = 262_144
+
 
 @dataclass(slots=True, eq=False)
 class DownstreamContext:
@@ -31,6 +36,10 @@
     is_draining: bool = False  # whether the shutdown has begun; if so, every response ends its connection
     is_slot_wanted: bool = False  # whether responses end their connections, since a client waits for a slot
     large_bodies: LargeBodyBudget = field(init=False)
+    # Buffer for bytes that all connections drop. Several threads may receive into it at once, since none
+    # reads from it. It occupies no memory before its first use.
+    drop_buffer: memoryview = field(init=False)
 
     def __post_init__(self) -> None:
         self.large_bodies = LargeBodyBudget(self.limits.large_body_bytes, self.limits.small_body_bytes)
+        self.drop_buffer = memoryview(mmap.mmap(-1, DROP_BUFFER_BYTES))
--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -39,6 +39,7 @@
 
 NANOSECONDS_PER_MICROSECOND = 1_000
 MICROSECONDS_PER_SECOND = 1_000_000
+MILLISECONDS_PER_SECOND = 1_000
 
 
 def set_send_buffer(sock: socket.socket, size_bytes: int) -> None:
@@ -125,12 +126,9 @@
 
 
 def is_closed_by_peer(sock: socket.socket) -> bool:
-    """Whether the remote side has closed the connection.
-
-    Returns False if received bytes are known to wait to be read.
-    """
+    """Whether the remote side has closed or reset the connection, also if received bytes wait to be read."""
     result = peek(sock)
-    if result is PeekResult.UNKNOWN:
+    if result in (PeekResult.UNKNOWN, PeekResult.UNREAD_BYTES):
         return bool(_polled_events(sock, select.POLLRDHUP))
     return result is PeekResult.ENDED
 
@@ -165,6 +163,13 @@
             continue
 
 
+def is_readable_within(sock: socket.socket, timeout_s: float) -> bool:
+    """Waits for bytes or the end of the connection; returns False if the timeout passes first."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(timeout_s * MILLISECONDS_PER_SECOND))
+
+
 def receive(sock: socket.socket, buffer: memoryview) -> int:
     """Receives bytes into a buffer; returns their number, which is 0 at the end of the connection.
 
--- a/tests/proxy/test_client_disconnects.py
+++ b/tests/proxy/test_client_disconnects.py
@@ -68,15 +68,18 @@
     ids=["close", "reset", "half-close"],
 )
 @pytest.mark.parametrize("late_thread", ["event loop", "reader"])
+@pytest.mark.parametrize("bytes_behind", [0, 10_000])
 def test_no_attempt_starts_for_a_client_that_has_disconnected(
     delayed_connects: DelayedConnects,
     monkeypatch: pytest.MonkeyPatch,
     disconnect: Disconnect,
     late_thread: str,
+    bytes_behind: int,
 ) -> None:
     """Guards against an attempt that is sent although the client has already disconnected.
 
     The disconnect has happened, but the event loop or the connection's reader thread has not handled it yet.
+    Bytes that the client has sent behind its request may still be unread.
     """
     may_notice = threading.Event()
     if late_thread == "event loop":
@@ -89,6 +92,7 @@
         assert proxy.wait_until(lambda: proxy.parts.event_loop.pending_count == 1)
         assert delayed_connects.has_started.wait(WAIT_TIMEOUT_S)
         (connection,) = proxy.parts.downstream.connections.snapshot()
+        client.send(b"x" * bytes_behind)
         disconnect(client.sock)
         assert proxy.wait_until(connection.is_closed_by_client)
         delayed_connects.may_connect.set()
