Requests: an id that may have been executed is not executed again, also after its client left

Cause: ids were compared with those of pending requests only, and a request is over as soon as its client leaves, though a cache may have executed it.

Ids whose attempts are all known not to have run may come again.

--- a/olivepost/config/memory_budget.py
+++ b/olivepost/config/memory_budget.py
@@ -50,13 +50,14 @@
 
 # Each owner's share of the usable memory that the program leaves. The shares add up to one.
 CONNECTIONS_SHARE = Share(42, 100)
-BODIES_SHARE = Share(28, 100)
+BODIES_SHARE = Share(27, 100)
 NAMES_SHARE = Share(11, 100)
 REQUESTS_SHARE = Share(7, 100)
 ENDPOINTS_SHARE = Share(5, 100)
 ROUTES_SHARE = Share(4, 100)
 INVALIDATIONS_SHARE = Share(1, 100)
 LOG_SHARE = Share(2, 100)
+EXECUTED_IDS_SHARE = Share(1, 100)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,7 @@
     routes: int  # rendezvous orders of endpoints that the router has computed
     invalidations: int
     log: int  # log lines that wait to be written
+    executed_ids: int  # ids of requests that may have been executed
 
     @property
     def max_names(self) -> int:
@@ -92,8 +94,9 @@
     @property
     def total(self) -> int:
         """Returns the sum of all owners' bounds and the program's own memory, in bytes."""
-        owners = (self.names, self.requests, self.endpoints, self.routes, self.invalidations, self.log)
-        return self.program + self.connections + self.bodies + sum(owners)
+        tables = (self.names, self.requests, self.endpoints, self.routes, self.invalidations)
+        owners = (self.connections, self.bodies, *tables, self.log, self.executed_ids)
+        return self.program + sum(owners)
 
     @classmethod
     def of_limit(cls, memory_mb: int) -> MemoryBudget:
@@ -111,4 +114,5 @@
             routes=ROUTES_SHARE.of(spare),
             invalidations=INVALIDATIONS_SHARE.of(spare),
             log=LOG_SHARE.of(spare),
+            executed_ids=EXECUTED_IDS_SHARE.of(spare),
         )
--- a/olivepost/proxy/action_executor.py
+++ b/olivepost/proxy/action_executor.py
@@ -196,6 +196,7 @@
     Returns whether there are attempts in flight and all of them were withdrawn.
     """
     sent = [attempt for attempt in pending.attempts.values() if not _withdraw(attempt)]
+    pending.unexecuted_count += len(pending.attempts) - len(sent)
     return bool(pending.attempts) and not sent
 
 
--- a/olivepost/proxy/buffers.py
+++ b/olivepost/proxy/buffers.py
@@ -23,7 +23,7 @@
         self.capacity = capacity  # number of buffers in the pool
         self.buffer_bytes = buffer_bytes  # size of one buffer in bytes
         self.peak = 0  # largest number of buffers in use at once so far
-        self._mapping = _map_privately(capacity * buffer_bytes)
+        self._mapping = map_privately(capacity * buffer_bytes)
         self._free: list[memoryview] = []  # the buffer released last is at the end
         # Offset in `_mapping` of each buffer created so far, by `id()` of the buffer.
         self._offsets: dict[int, int] = {}
@@ -109,7 +109,7 @@
             return len(trimmed) * self.buffer_bytes
 
 
-def _map_privately(size_bytes: int) -> mmap.mmap:
+def map_privately(size_bytes: int) -> mmap.mmap:
     """Returns a mapping of private memory without huge pages.
 
     With huge pages, the first access to the mapping would make all of it occupy memory.
--- a/olivepost/proxy/downstream/context.py
+++ b/olivepost/proxy/downstream/context.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import mmap
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from olivepost.config import ResourceLimits
 from olivepost.interface import ClassSettings
-from olivepost.proxy.buffers import BufferPool
+from olivepost.proxy.buffers import BufferPool, map_privately
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.downstream.body_budget import LargeBodyBudget
 from olivepost.proxy.event_log import EventLog
@@ -42,4 +41,4 @@
 
     def __post_init__(self) -> None:
         self.large_bodies = LargeBodyBudget(self.limits.large_body_bytes, self.limits.small_body_bytes)
-        self.drop_buffer = memoryview(mmap.mmap(-1, DROP_BUFFER_BYTES))
+        self.drop_buffer = memoryview(map_privately(DROP_BUFFER_BYTES))
--- a/olivepost/proxy/event_loop.py
+++ b/olivepost/proxy/event_loop.py
@@ -43,7 +43,7 @@
         self._clock = resources.clock
         self._logger = resources.log
         self._response_cache = resources.response_cache
-        self._pending = PendingExchanges()
+        self._pending = PendingExchanges(resources.max_executed_id_bytes)
         self._timers = TimerQueue(self._is_live)
         self._executor = ActionExecutor(resources, self._pending, self._timers, events.post)
         self._lifecycle = ExchangeLifecycle(resources, self._pending, self._executor)
--- a/olivepost/proxy/event_loop_resources.py
+++ b/olivepost/proxy/event_loop_resources.py
@@ -61,4 +61,5 @@
     # rate is unknown; the proxy then does not use its response cache.
     transfer_bytes_per_s: float | None
     upstream: UpstreamPool
+    max_executed_id_bytes: int  # memory for ids of requests that may have been executed
     shared_store: SharedStore | None  # None if the operator has not configured one
--- a/olivepost/proxy/exchange_lifecycle.py
+++ b/olivepost/proxy/exchange_lifecycle.py
@@ -60,8 +60,12 @@
         self.discovery_known_until = max(composed_by, self.discovery_known_until or composed_by)
 
     def receive(self, now: Instant, exchange: Exchange) -> None:
-        """Handles the arrival of a client's request, which has been read completely."""
-        if exchange.id in self._pending:
+        """Handles the arrival of a client's request, which has been read completely.
+
+        A request fails if its id was used before and that request may have been executed: another attempt
+        would execute it twice, whether its first client still waits or has left.
+        """
+        if self._pending.is_used(exchange.id):
             self._log.increment("duplicate_request_ids")
             exchange.close(Response(ResponseKind.FAILED))
             return
@@ -187,6 +191,7 @@
                 response.release()
             return
         del pending.attempts[attempt.number]
+        pending.unexecuted_count += event.status in api.NOT_EXECUTED
         if event.status is not api.AttemptStatus.OK:
             self._record_failed_attempt(event)
         pending.generated_at = None if response is None else response.generated_at
--- a/olivepost/proxy/pending_exchanges.py
+++ b/olivepost/proxy/pending_exchanges.py
@@ -7,6 +7,7 @@
 
 from olivepost.proxy import invariants
 from olivepost.proxy.exchange import Exchange, Response
+from olivepost.proxy.executed_ids import ExecutedRequestIds
 from olivepost.proxy.response_cache import CacheEntry
 from olivepost.proxy.upstream.request import UpstreamRequest
 from olivepost.units import Instant
@@ -31,17 +32,26 @@
     deferred_attempt: UpstreamRequest | None = None
     # Number of attempts so far, which is also the number that identifies the next attempt.
     attempt_count: int = 0
+    unexecuted_count: int = 0  # number of attempts that are known not to have been executed
     generated_at: Instant | None = None  # time at which the origin generated the response; None if unknown
 
+    @property
+    def may_be_executed(self) -> bool:
+        """Whether some attempt has been executed or may be."""
+        return self.attempt_count > self.unexecuted_count
+
 
 class PendingExchanges:
-    """Pending requests by id, and their attempts by the id of their timeout timer.
+    """Pending requests by id, their attempts by the id of their timeout timer, and ids that are used up.
 
-    Only the event loop's thread uses it, but any thread may read the number of pending requests with `len`.
+    An id is used up once its request is over and may have been executed. Only the event loop's thread uses
+    the table, but any thread may read the number of pending requests with `len`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_executed_bytes: int) -> None:
+        """Creates the table; `max_executed_bytes` is the memory for ids that are used up."""
         self.by_id: dict[str, PendingExchange] = {}
+        self._executed_ids = ExecutedRequestIds(max_executed_bytes)
         self._attempts_by_timer: dict[int, UpstreamRequest] = {}
 
     def __len__(self) -> int:
@@ -50,6 +60,10 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self.by_id
 
+    def is_used(self, request_id: str) -> bool:
+        """Whether a request with this id is pending, or is over and may have been executed."""
+        return request_id in self.by_id or request_id in self._executed_ids
+
     def get(self, request_id: str) -> PendingExchange | None:
         """Returns the pending request with this id; None if there is none."""
         return self.by_id.get(request_id)
@@ -94,6 +108,8 @@
         Does not cancel attempts in flight, because the router decides whether they are cancelled.
         """
         del self.by_id[pending.exchange.id]
+        if pending.may_be_executed:
+            self._executed_ids.add(pending.exchange.id)
         pending.exchange.close(response)
 
     def add_attempt(self, pending: PendingExchange, attempt: UpstreamRequest) -> None:
--- a/olivepost/proxy/wiring.py
+++ b/olivepost/proxy/wiring.py
@@ -66,6 +66,7 @@
         response_cache,
         config.transfer_bytes_per_s,
         upstream,
+        limits.memory.executed_ids,
         shared_store,
     )
     shedder = MemoryShedder(
--- a/tests/proxy/test_pending_exchanges.py
+++ b/tests/proxy/test_pending_exchanges.py
@@ -8,6 +8,8 @@
 from olivepost.proxy.pending_exchanges import PendingExchange, PendingExchanges
 from olivepost.proxy.upstream.request import UpstreamRequest
 
+MAX_EXECUTED_BYTES = 1_024
+
 
 def make_exchange(delivered: list[Response]) -> Exchange:
     def deliver(_exchange: Exchange, response: Response) -> None:
@@ -30,7 +32,7 @@
 
 
 def test_id_that_is_used_again_names_another_exchange() -> None:
-    pending = PendingExchanges()
+    pending = PendingExchanges(MAX_EXECUTED_BYTES)
     first = make_exchange([])
     second = make_exchange([])
     pending.close(add(pending, first), None)
@@ -41,7 +43,7 @@
 
 def test_closed_request_delivers_its_response_and_is_no_longer_pending() -> None:
     delivered: list[Response] = []
-    pending = PendingExchanges()
+    pending = PendingExchanges(MAX_EXECUTED_BYTES)
     response = Response(ResponseKind.REJECTED)
     pending.close(add(pending, make_exchange(delivered)), response)
     assert delivered == [response]
@@ -49,7 +51,7 @@
 
 
 def test_attempt_is_found_by_its_timer_until_its_timeout_is_discarded() -> None:
-    pending = PendingExchanges()
+    pending = PendingExchanges(MAX_EXECUTED_BYTES)
     exchange = make_exchange([])
     attempt = make_attempt(exchange, 0)
     owner = add(pending, exchange)
@@ -62,7 +64,7 @@
 
 
 def test_deferred_attempt_is_withdrawn_once_and_only_if_it_matches() -> None:
-    pending = PendingExchanges()
+    pending = PendingExchanges(MAX_EXECUTED_BYTES)
     exchange = make_exchange([])
     attempt = make_attempt(exchange, 1)
     add(pending, exchange).deferred_attempt = attempt
@@ -73,4 +75,4 @@
 
 def test_expected_request_that_is_not_pending_violates_the_named_invariant() -> None:
     with pytest.raises(AssertionError, match="of_this_test_too"):
-        PendingExchanges().expect("1", "of_this_test_too")
+        PendingExchanges(MAX_EXECUTED_BYTES).expect("1", "of_this_test_too")
