Endpoints: no work for a process that has gone reaches the next one at its address

Cause: the pool dropped the connections of an endpoint that had gone before the requests that waited on them were withdrawn, so that these were written to whichever process accepted; left-out endpoints and new processes under the same id were not looked for. And two endpoints at one address both stayed in use until the old one was removed.

Change: `UpstreamPool.update` returns the unbegun requests of processes that are no longer listed, and the router decides them anew; an endpoint is removed when a process with a later start is listed at its address.

--- a/olivepost/proxy/discovery_changes.py
+++ b/olivepost/proxy/discovery_changes.py
@@ -6,6 +6,7 @@
 
 from olivepost import interface as api
 from olivepost.proxy.action_executor import ActionExecutor
+from olivepost.proxy.address_reuse import EndpointChange, remove_superseded
 from olivepost.proxy.discovery.messages import DiscoveryEvent
 from olivepost.proxy.event_loop_resources import EventLoopResources
 from olivepost.proxy.exchange_lifecycle import ExchangeLifecycle
@@ -43,9 +44,7 @@
             if self._shared_store is not None:
                 self._shared_store.invalidate(change, now)
         else:
-            self._update_endpoints(now, event, change)
-            if self._shared_store is not None:
-                self._shared_store.notify(change)
+            self._change_endpoints(now, change, event.addresses)
 
     def invalidate(self, now: Instant, invalidation: api.Invalidation) -> None:
         """Applies an invalidation to the response cache, the router and the attempts not yet written.
@@ -62,20 +61,35 @@
 
         self._lifecycle.withdraw(now, is_invalidated)
 
-    def _update_endpoints(self, now: Instant, event: DiscoveryEvent, update: api.EndpointUpdate) -> None:
-        is_complete = update.kind is not api.EndpointUpdateKind.INCREMENTAL
-        self._upstream.update(self._usable_addresses(event, update), is_complete)
+    def _change_endpoints(
+        self, now: Instant, listed: api.EndpointUpdate, addresses: list[EndpointAddress]
+    ) -> None:
+        is_complete = listed.kind is not api.EndpointUpdateKind.INCREMENTAL
+        known = () if is_complete else self._upstream.addresses
+        change = remove_superseded(EndpointChange(listed, addresses), known)
+        self._update_endpoints(now, change, is_complete)
+        if self._shared_store is not None:
+            self._shared_store.notify(change.update)
+
+    def _update_endpoints(self, now: Instant, change: EndpointChange, is_complete: bool) -> None:
+        update = change.update
+        withdrawn = self._upstream.update(self._usable_addresses(change), is_complete)
         self._executor.execute(self._router.handle(now, update))
         if update.kind is not api.EndpointUpdateKind.RESTORED:
-            self._log_update(event, update)
-        unready = {address.id for address in event.addresses if address.state is not api.EndpointState.READY}
+            self._log_update(change)
+        endpoints = self._router.state.endpoints.by_id
+        ready = {
+            endpoint_id
+            for endpoint_id, endpoint in endpoints.items()
+            if endpoint.metadata.state is api.EndpointState.READY
+        }
 
         def is_for_unready_endpoint(attempt: UpstreamRequest) -> bool:
-            return attempt.cache in unready or attempt.source in unready
+            return attempt.cache not in ready or (attempt.source is not None and attempt.source not in ready)
 
-        self._lifecycle.withdraw(now, is_for_unready_endpoint)
+        self._lifecycle.withdraw(now, is_for_unready_endpoint, withdrawn)
 
-    def _usable_addresses(self, event: DiscoveryEvent, update: api.EndpointUpdate) -> list[EndpointAddress]:
+    def _usable_addresses(self, change: EndpointChange) -> list[EndpointAddress]:
         """Returns the addresses that the upstream pool needs for an endpoint update.
 
         These are the addresses of the endpoints that routing may use, and of the removed endpoints. The pool
@@ -84,11 +98,11 @@
         settings = self._router.settings
         return [
             address
-            for address, metadata in zip(event.addresses, update.endpoints, strict=True)
+            for address, metadata in zip(change.addresses, change.update.endpoints, strict=True)
             if metadata.state is api.EndpointState.REMOVED
             or role_of(settings, metadata) is not Role.OTHER_ZONE
         ]
 
-    def _log_update(self, event: DiscoveryEvent, update: api.EndpointUpdate) -> None:
-        states = Counter(address.state.name.lower() for address in event.addresses)
-        self._log.sampled_event("endpoints_updated", update=update.kind.name.lower(), endpoints=states)
+    def _log_update(self, change: EndpointChange) -> None:
+        states = Counter(address.state.name.lower() for address in change.addresses)
+        self._log.sampled_event("endpoints_updated", update=change.update.kind.name.lower(), endpoints=states)
--- a/olivepost/proxy/exchange_lifecycle.py
+++ b/olivepost/proxy/exchange_lifecycle.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from olivepost import interface as api
 from olivepost.proxy.action_executor import ActionExecutor
@@ -168,16 +168,20 @@
             attempt.connection.abort(attempt)
         self.complete_attempt(now, UpstreamCompleted(attempt, api.AttemptStatus.TIMED_OUT, now))
 
-    def withdraw(self, now: Instant, matches: Callable[[UpstreamRequest], bool]) -> None:
+    def withdraw(
+        self,
+        now: Instant,
+        matches: Callable[[UpstreamRequest], bool],
+        withdrawn: Sequence[UpstreamRequest] = (),
+    ) -> None:
         """Withdraws the attempts that `matches` selects and that no connection has begun to write.
 
-        The router then decides again how to serve their requests. An attempt may have to wait for its
-        connection. Until its first byte is written, it is withdrawn if its endpoint drains or its object is
-        invalidated.
+        `withdrawn` are further attempts that have been withdrawn from their connections already. The router
+        then decides again how to serve their requests. An attempt may have to wait for its connection. Until
+        its first byte is written, it is withdrawn if its endpoint drains or its object is invalidated.
         """
-        withdrawn = self._pending.withdraw_deferred(matches)
-        withdrawn += self._upstream.withdraw(matches)
-        for attempt in withdrawn:
+        matching = self._pending.withdraw_deferred(matches) + self._upstream.withdraw(matches)
+        for attempt in (*withdrawn, *matching):
             self.complete_attempt(now, UpstreamCompleted(attempt, api.AttemptStatus.NOT_SENT, now))
 
     def complete_attempt(self, now: Instant, event: UpstreamCompleted) -> None:
--- a/olivepost/proxy/upstream/pool.py
+++ b/olivepost/proxy/upstream/pool.py
@@ -32,20 +32,28 @@
         # All connections that may still hold a file descriptor, including those of removed endpoints.
         self._connections: list[UpstreamConnection] = []
 
-    def update(self, addresses: list[EndpointAddress], is_full: bool) -> None:
+    def update(self, addresses: list[EndpointAddress], is_full: bool) -> list[UpstreamRequest]:
         """Applies an endpoint list. If `is_full` is true, endpoints that are not listed are removed.
 
         Otherwise the list is incremental, and unlisted endpoints stay as they are. A connection belongs to
         one process of one endpoint. The connection is not used for another process or endpoint with the same
-        socket address.
+        socket address. Removes and returns the requests that no connection has begun to write and whose
+        process is no longer listed: a connection that is still being established may reach another process.
         """
+        withdrawn: list[UpstreamRequest] = []
         for address in addresses:
-            self._update_endpoint(address)
+            withdrawn += self._update_endpoint(address)
         if is_full:
             listed = {address.id for address in addresses}
             removed = [endpoint_id for endpoint_id in self._endpoints if endpoint_id not in listed]
             for endpoint_id in removed:
-                self._remove_endpoint(endpoint_id)
+                withdrawn += self._remove_endpoint(endpoint_id)
+        return withdrawn
+
+    @property
+    def addresses(self) -> list[EndpointAddress]:
+        """Returns the addresses of all endpoints in the endpoint list."""
+        return [endpoint.address for endpoint in self._endpoints.values()]
 
     def withdraw(self, matches: RequestFilter) -> list[UpstreamRequest]:
         """Removes and returns the requests that `matches` selects and no connection has begun to write."""
@@ -96,24 +104,32 @@
         for endpoint_id in list(self._endpoints):
             self._remove_endpoint(endpoint_id)
 
-    def _update_endpoint(self, address: EndpointAddress) -> None:
-        """Applies one entry of an endpoint list; a new process of an endpoint gets new connections."""
+    def _update_endpoint(self, address: EndpointAddress) -> list[UpstreamRequest]:
+        """Applies one entry of an endpoint list; a new process of an endpoint gets new connections.
+
+        Returns the withdrawn requests of the process before, or of a removed endpoint.
+        """
         known = self._endpoints.get(address.id)
+        if address.state is api.EndpointState.REMOVED:
+            return self._remove_endpoint(address.id)
         if known is not None and known.address.is_same_process(address):
             known.address = address
-        else:
-            self._remove_endpoint(address.id)
-            self._endpoints[address.id] = EndpointConnections(address)
-        if address.state is api.EndpointState.REMOVED:
-            self._remove_endpoint(address.id)
+            return []
+        withdrawn = self._remove_endpoint(address.id)
+        self._endpoints[address.id] = EndpointConnections(address)
+        return withdrawn
+
+    def _remove_endpoint(self, endpoint_id: str) -> list[UpstreamRequest]:
+        """Removes an endpoint. Each of its connections closes once no request is pending on it.
 
-    def _remove_endpoint(self, endpoint_id: str) -> None:
-        """Removes an endpoint. Each of its connections closes once no request is pending on it."""
+        Returns the requests that no connection has begun to write. They are withdrawn.
+        """
         endpoint = self._endpoints.pop(endpoint_id, None)
-        if endpoint is None:
-            return
-        for connection in endpoint.connections:
+        withdrawn: list[UpstreamRequest] = []
+        for connection in endpoint.connections if endpoint is not None else ():
+            withdrawn += connection.withdraw(lambda _: True)
             connection.drain()
+        return withdrawn
 
     def _ready_endpoint(self, request: UpstreamRequest) -> EndpointConnections | None:
         """Returns the request's endpoint; None if the endpoint is not listed or accepts no new requests."""
