--- a/tests/proxy/discovery/test_faulty_coordinators.py
+++ b/tests/proxy/discovery/test_faulty_coordinators.py
@@ -8,17 +8,18 @@
 
 import pytest
 
-from examples.toy_server import Coordinator
+from examples.toy_server import Coordinator, port_of
 from olivepost import interface as api
 from olivepost.config import read_address
 from olivepost.proxy.discovery import open_polls
 from tests.proxy.fakes import MS, cache_a_is_draining, draining_entries
-from tests.proxy_harness import WAIT_TIMEOUT_S, running_proxy
+from tests.proxy_harness import CHECK_INTERVAL_S, WAIT_TIMEOUT_S, running_proxy
 
 # Time from a switch of the coordinator to the second poll, if the first one has no complete response by then.
 NEXT_POLL_AFTER_S = 0.5
 # An event that a stalled response has counts as notified 2 s after the poll's wait of 1 s.
 NOTIFIED_AFTER_S = 3.0
+DRAIN_KNOWN_AFTER_S = 7.55  # an event counts as notified 7 s after it was published, and 0.55 s are allowed
 
 
 class StallingCoordinator(Coordinator):
@@ -149,3 +150,24 @@
         assert len(proxy.caches[0].received()) == fetches_before
         other.is_over.set()
         other.close()
+
+
+def test_coordinator_that_comes_up_anew_with_more_events_is_not_taken_for_the_one_before() -> None:
+    """Guards against events of a new numbering that are skipped, since their indices count as known."""
+    with running_proxy() as proxy:
+        port = port_of(proxy.coordinator.address)
+        assert proxy.wait_until(lambda: proxy.parts.discovery._watch_state.last_index == 1)
+        proxy.coordinator.close()
+        anew = Coordinator(port)
+        servers = [*draining_entries(proxy, 1), *proxy.listed_endpoints[1:]]
+        anew.add(endpoints={"version": 1, "full": True, "servers": servers})
+        anew.add(evict={"shard": 2, "unix_ms": time.time_ns() // 1_000_000})
+        published_at = time.monotonic()
+        invalidations = proxy.parts.event_loop._router.state.invalidations
+        try:
+            assert proxy.wait_until(lambda: ("group", 2) in invalidations._times)
+            while not cache_a_is_draining(proxy) and time.monotonic() - published_at < DRAIN_KNOWN_AFTER_S:
+                time.sleep(CHECK_INTERVAL_S)
+            assert cache_a_is_draining(proxy)
+        finally:
+            anew.close()
