Stand-ins: one parser of polls and one encoder of responses for all coordinators

An unused constant is gone, and `OpenPolls.record_bytes` compares with the oldest poll in place of a search in the newer ones.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 CONFIG = Path(__file__).with_name("config.json")
 LOOPBACK = "127.0.0.1"
@@ -28,6 +28,7 @@
 MAX_POLL_WAIT_S = 5.0
 NO_FIELDS = "-"
 NANOSECONDS_PER_MS = 1_000_000
+MS_PER_SECOND = 1_000
 NOT_CACHED_PREFIX = "0"  # first character of the names of objects that caches don't keep
 REJECTED_PREFIX = "f"  # first character of the names of objects that every endpoint rejects
 
@@ -185,6 +186,26 @@
         return [command for command in self.commands if command.verb == verb]
 
 
+class PollQuery(NamedTuple):
+    """The query of a poll: the index after which it asks for events, and the longest wait for them."""
+
+    after: int
+    wait_s: float
+
+
+def read_poll(line: bytes) -> PollQuery:
+    """Parses the request line of a poll."""
+    query = line.split()[1].decode().partition("?")[2]
+    parameters = dict(item.split("=") for item in query.split("&"))
+    return PollQuery(int(parameters["follow"]), int(parameters["wait_ms"]) / MS_PER_SECOND)
+
+
+def encode_poll_response(events: dict[str, Any]) -> bytes:
+    """Encodes a coordinator's response; `events` has the keys `index` and `updates`."""
+    body = json.dumps(events).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
 class Coordinator(Server):
     """Service discovery that serves numbered events by long poll.
 
@@ -212,17 +233,14 @@
         """Responds to each poll with the events after the index that the poll names."""
         while line := lines.readline():
             skip_headers(lines)
-            _, _, query = line.split()[1].decode().partition("?")
-            parameters = dict(item.split("=") for item in query.split("&"))
-            after = int(parameters["follow"])
-            wait_s = min(MAX_POLL_WAIT_S, int(parameters["wait_ms"]) / 1_000)
+            after, wait_s = read_poll(line)
             with self._change:
                 self.polls += 1
                 self.follows.append(after)
                 self._change.notify_all()
-                self._wait(after, wait_s)
-                body = json.dumps({"index": len(self.events), "updates": self.events[after:]}).encode()
-            self.reply(sock, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                self._wait(after, min(MAX_POLL_WAIT_S, wait_s))
+                data = encode_poll_response({"index": len(self.events), "updates": self.events[after:]})
+            self.reply(sock, data)
 
     def reply(self, sock: socket.socket, data: bytes) -> None:
         """Sends a complete response to a poll; tests override this method."""
--- a/olivepost/proxy/discovery/open_polls.py
+++ b/olivepost/proxy/discovery/open_polls.py
@@ -146,8 +146,10 @@
         """
         poll.received_at = now
         poll.received_bytes += size
+        if poll is self._polls[0]:
+            return
         others = self._polls[1:]
-        if poll in others and sum(other.received_bytes for other in others) > self._max_response_bytes:
+        if sum(other.received_bytes for other in others) > self._max_response_bytes:
             raise ResponseBudgetError(
                 f"{len(others)} responses have more than {self._max_response_bytes} bytes together"
             )
--- a/tests/proxy/discovery/discovery_run.py
+++ b/tests/proxy/discovery/discovery_run.py
@@ -36,7 +36,6 @@
 JUST_AFTER_SWITCH_S = 0.25
 GRACE_S = 0.35  # an invalidation must have its effect this long after the proxy was notified
 SCHEDULING_SLACK_S = 0.15  # for scheduling delays of the test's own threads
-THREAD_NAME = "discovery"
 INCOMPLETE = (ReplyKind.SILENT, ReplyKind.STALLED)
 
 
--- a/tests/proxy/discovery/late_coordinator.py
+++ b/tests/proxy/discovery/late_coordinator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import socket
 import threading
 import time
@@ -12,7 +11,7 @@
 from enum import Enum
 from typing import Any
 
-from examples.toy_server import Server, skip_headers
+from examples.toy_server import Server, encode_poll_response, read_poll, skip_headers
 
 CLOSE_AFTER_S = 1.5  # a coordinator that has been replaced closes its connections after this time
 
@@ -118,17 +117,14 @@
 
     def _answer(self, sock: Any, lines: Any, line: bytes) -> bool:
         """Replies to one poll; returns whether the connection remains open."""
-        query = line.split()[1].decode().partition("?")[2]
-        parameters = dict(item.split("=") for item in query.split("&"))
-        after = int(parameters["follow"])
-        poll = PollRecord(time.monotonic(), int(parameters["wait_ms"]) / 1_000, after, self.plan())
+        after, wait_s = read_poll(line)
+        poll = PollRecord(time.monotonic(), wait_s, after, self.plan())
         self.polls.append(poll)
         with self._feed.changed:
             self._feed.changed.wait_for(lambda: self._feed.last_index > after, poll.wait_s)
             poll.up_to = self._feed.last_index
             poll.composed_at = time.monotonic()
-            body = json.dumps(self._feed.events_after(after)).encode()
-        data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            data = encode_poll_response(self._feed.events_after(after))
         if poll.reply.kind is not ReplyKind.COMPLETE:
             data = data[: len(data) // 2] if poll.reply.kind is not ReplyKind.SILENT else b""
         self._is_closed.wait(poll.reply.delay_s)
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import random
 import socket
 import threading
@@ -11,7 +10,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from examples.toy_server import Coordinator, Server, listed_endpoint, skip_headers
+from examples.toy_server import (
+    Coordinator,
+    Server,
+    encode_poll_response,
+    listed_endpoint,
+    read_poll,
+    skip_headers,
+)
 from tests.soak.faults import DiscoveryMode, EndpointFault, FaultPlan
 from tests.soak.oracle import Arrival, Execution, Oracle
 from tests.soak.traffic import object_name, reset_on_close
@@ -168,13 +174,11 @@
                 return
             while self.mode is DiscoveryMode.SILENT:
                 time.sleep(SILENCE_POLL_S)
-            query = line.split()[1].decode().partition("?")[2]
-            parameters = dict(item.split("=") for item in query.split("&"))
-            after = int(parameters["follow"])
+            after, wait_s = read_poll(line)
             with self._change:
-                self._wait(after, int(parameters["wait_ms"]) / 1_000)
-                body = json.dumps({"index": len(self.events), "updates": self.events[after:]}).encode()
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                self._wait(after, wait_s)
+                data = encode_poll_response({"index": len(self.events), "updates": self.events[after:]})
+            sock.sendall(data)
 
 
 class SoakEnvironment:
