--- a/olivepost/proxy/address_reuse.py
+++ b/olivepost/proxy/address_reuse.py
@@ -1,6 +1,6 @@
 """Endpoints whose address another process has now, although the endpoint list still contains them.
 
-A new process may have the address of one that has gone, and the list may arrive in parts: the new process is
+A new process may have the address of one that has ended, and the list may arrive in parts: the new process is
 listed before the old one is removed. Whatever is sent to the old one would reach the new one.
 """
 
--- a/olivepost/proxy/exchange_lifecycle.py
+++ b/olivepost/proxy/exchange_lifecycle.py
@@ -63,7 +63,7 @@
         """Handles the arrival of a client's request, which has been read completely.
 
         A request fails if its id was used before and that request may have been executed: another attempt
-        would execute it twice, whether its first client still waits or has left.
+        would execute it twice, whether its first client still waits or has disconnected.
         """
         if self._pending.is_used(exchange.id):
             self._log.increment("duplicate_request_ids")
--- a/olivepost/proxy/http1/bodies.py
+++ b/olivepost/proxy/http1/bodies.py
@@ -1,7 +1,7 @@
 """The three framings of an HTTP/1.1 response's body (RFC 9112, sections 6.3, 7.1 and 8), without I/O.
 
 The end of a body is known from its length, from its last chunk, or from the close of the connection. A body
-removes its bytes from the front of the received bytes, which are all bytes that follow the response's head.
+removes its bytes from the beginning of the received bytes, which are all bytes after the response's head.
 """
 
 from __future__ import annotations
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -1,4 +1,4 @@
-"""Tests of new processes at the address of one that has gone: no work for the old one reaches them."""
+"""Tests of new processes at the address of one that has ended: no work for the old one reaches them."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
 def test_attempt_that_waits_for_its_connection_does_not_reach_the_next_process_at_the_address(
     delayed_connects: DelayedConnects, kind: str, effect: str
 ) -> None:
-    """Guards against work for an endpoint that has gone, sent to the process that has its address now."""
+    """Guards against work for an endpoint that was removed, sent to the process that has its address now."""
     with running_proxy(settings=settings_with_idempotency(effect)) as proxy, proxy.connect() as client:
         client.send(HttpClient.encode_request(timeout_ms=3_000))
         assert delayed_connects.has_started.wait(WAIT_TIMEOUT_S)
@@ -75,7 +75,7 @@
     "kind", ["new id, the old one not removed", "new id beside the old one in a full list"]
 )
 def test_endpoint_whose_address_a_later_process_has_is_removed(kind: str) -> None:
-    """Guards against requests to both of two endpoints at one address, of which one has gone."""
+    """Guards against requests to both of two endpoints at one address, of which one has ended."""
     with running_proxy() as proxy, proxy.connect() as client:
         assert client.request().status == 200
         proxy.coordinator.add(endpoints={"version": 2, **replacement(proxy, 0, kind)})
--- a/tests/proxy/test_repeated_ids.py
+++ b/tests/proxy/test_repeated_ids.py
@@ -23,7 +23,7 @@
 @pytest.mark.parametrize("effect", EFFECTS)
 @pytest.mark.parametrize("part", [3, 4])
 def test_id_that_comes_again_after_its_client_left_is_not_executed_twice(effect: str, part: int) -> None:
-    """Guards against a second execution of a request whose first client has left."""
+    """Guards against a second execution of a request whose first client has disconnected."""
     replies = DelayedReplies()
     with running_proxy(replies, settings=settings_with_idempotency(effect)) as proxy:
         with proxy.connect() as client:
--- a/tests/soak/misbehaving_clients_process.py
+++ b/tests/soak/misbehaving_clients_process.py
@@ -29,8 +29,8 @@
 SLOW_READS = 40  # bytes that a slow reader reads one by one before it disconnects
 SMALL_BUFFER_BYTES = 4_096
 LARGE_BUFFER_BYTES = 262_144
-SLOW_PIECE_BYTES = 400
-SLOW_PIECE_INTERVAL_S = 0.1
+SLOW_CHUNK_BYTES = 400
+SLOW_CHUNK_INTERVAL_S = 0.1
 FULL_SPEED_S = 3.0  # time for which a client sends at full speed on one connection
 
 
@@ -107,11 +107,11 @@
 
 
 def write_slowly(sock: socket.socket, random_source: random.Random) -> None:
-    """Sends a long head in small pieces."""
+    """Sends a long head in small chunks."""
     data = request(random_source).replace(b"\r\n\r\n", b"\r\nX-Filler: " + b"y" * 7_000 + b"\r\n\r\n")
-    for start in range(0, len(data), SLOW_PIECE_BYTES):
-        sock.sendall(data[start : start + SLOW_PIECE_BYTES])
-        time.sleep(SLOW_PIECE_INTERVAL_S)
+    for start in range(0, len(data), SLOW_CHUNK_BYTES):
+        sock.sendall(data[start : start + SLOW_CHUNK_BYTES])
+        time.sleep(SLOW_CHUNK_INTERVAL_S)
 
 
 def stop_within_large_body(sock: socket.socket, random_source: random.Random) -> None:
