Tests: the parsers' tests feed pieces with one function in place of three loops

They use `tests/proxy/http1/feeding.py` now. The fuzzing became stricter by it: a close that ends a response must give one.

--- a/tests/proxy/http1/fuzz_responses.py
+++ b/tests/proxy/http1/fuzz_responses.py
@@ -12,6 +12,7 @@
 
 from olivepost.proxy.http1.messages import HttpError
 from olivepost.proxy.http1.response_parser import ResponseParser
+from tests.proxy.http1.feeding import feed_connection
 from tests.proxy.http1.response_forms import mutate, random_form
 
 MAX_HEAD_SIZE = 400
@@ -24,17 +25,11 @@
     """Returns the bodies of the responses in `data`, fed in random pieces; None if they are malformed."""
     cuts = sorted(draw.randint(0, len(data)) for _ in range(draw.randrange(MAX_PIECES)))
     parser = ResponseParser(MAX_HEAD_SIZE, MAX_BODY_SIZE)
-    bodies = []
+    pieces = [data[start:end] for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True)]
     try:
-        for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
-            parser.feed(data[start:end])
-            while (message := parser.take()) is not None:
-                bodies.append(message.body)
-        if is_closed and parser.close() and (last := parser.take()) is not None:
-            bodies.append(last.body)
+        return [message.body for message in feed_connection(parser, pieces, is_closed)]
     except HttpError:
         return None
-    return bodies
 
 
 def fuzz(draw: random.Random, count: int) -> None:
--- a/tests/proxy/http1/test_requests.py
+++ b/tests/proxy/http1/test_requests.py
@@ -18,6 +18,7 @@
 from olivepost.proxy.http1.parser import Parser
 from olivepost.proxy.http1.request_parser import RequestParser
 from olivepost.proxy.http1.response_parser import ResponseParser
+from tests.proxy.http1.feeding import feed_all
 from tests.router_harness import split
 
 MAX_HEAD_SIZE = 500
@@ -32,14 +33,8 @@
 def parse(
     chunks: list[bytes], make_parser: Callable[[int, int], Parser[Any]] = RequestParser
 ) -> list[Message[Any]]:
-    """Feeds the chunks to a new parser, takes its messages after each chunk, and returns all messages."""
-    parser = make_parser(MAX_HEAD_SIZE, MAX_BODY_SIZE)
-    messages = list[Message[Any]]()
-    for chunk in chunks:
-        parser.feed(chunk)
-        while (message := parser.take()) is not None:
-            messages.append(message)
-    return messages
+    """Feeds the chunks to a new parser and returns all messages."""
+    return feed_all(make_parser(MAX_HEAD_SIZE, MAX_BODY_SIZE), chunks)
 
 
 def test_requests_of_one_stream_are_taken_one_after_another() -> None:
--- a/tests/proxy/http1/test_responses.py
+++ b/tests/proxy/http1/test_responses.py
@@ -12,6 +12,7 @@
 
 from olivepost.proxy.http1.messages import HttpError, Message, StatusLine
 from olivepost.proxy.http1.response_parser import ResponseParser
+from tests.proxy.http1.feeding import feed_connection
 from tests.proxy.http1.fuzz_responses import fuzz
 from tests.proxy.http1.response_forms import FORMS, MALFORMED, Form, in_chunks, until_close, with_length
 from tests.router_harness import split
@@ -22,18 +23,8 @@
 
 
 def parse(pieces: Iterable[bytes], is_closed: bool = False) -> list[Message[StatusLine]]:
-    """Feeds the pieces to a new parser, takes the responses after each piece, and returns them all."""
-    parser = ResponseParser(MAX_HEAD_SIZE, MAX_BODY_SIZE)
-    messages = list[Message[StatusLine]]()
-    for piece in pieces:
-        parser.feed(piece)
-        while (message := parser.take()) is not None:
-            messages.append(message)
-    if is_closed and parser.close():
-        last = parser.take()
-        assert last is not None
-        messages.append(last)
-    return messages
+    """Feeds the pieces of one connection to a new parser and returns all responses."""
+    return feed_connection(ResponseParser(MAX_HEAD_SIZE, MAX_BODY_SIZE), pieces, is_closed)
 
 
 def parse_form(form: Form, pieces: Iterable[bytes]) -> list[Message[StatusLine]]:
