Clients: a request with bytes behind it is not lost if the wait for them fails

Cause: since the reader waits for the bytes behind a request with a poller of its own, beside `_polled_events`, which has the same system call and knows that it may fail. An OSError of that poller (ENOMEM) ended the connection of a request that had been read: the client saw a close without a response.

Change: `_polled_events` takes a timeout, and `is_readable_within` uses it. A failure counts as "not closed", so the request goes on.

test_request_with_bytes_behind_it_is_answered_if_poll_fails: without the change ConnectionError ("the proxy closed the connection"), with it 200.

--- a/olivepost/proxy/sockets.py
+++ b/olivepost/proxy/sockets.py
@@ -133,8 +133,8 @@
     return result is PeekResult.ENDED
 
 
-def _polled_events(sock: socket.socket, events: int) -> int | None:
-    """Returns the bit mask of events that `poll` reports for the socket now.
+def _polled_events(sock: socket.socket, events: int, timeout_s: float = 0.0) -> int | None:
+    """Returns the bit mask of events that `poll` reports for the socket within the timeout.
 
     `events` is the bit mask of the events to check. Returns 0 if `poll` reports none, and None if the system
     call fails. The system call needs no memory for received bytes, so it may succeed when `peek` does not.
@@ -143,7 +143,7 @@
     poller = select.poll()
     try:
         poller.register(sock, events)
-        found = poller.poll(0)
+        found = poller.poll(timeout_s * MILLISECONDS_PER_SECOND)
     except (OSError, ValueError):
         return None
     return found[0][1] if found else 0
@@ -164,10 +164,11 @@
 
 
 def is_readable_within(sock: socket.socket, timeout_s: float) -> bool:
-    """Waits for bytes or the end of the connection; returns False if the timeout passes first."""
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(timeout_s * MILLISECONDS_PER_SECOND))
+    """Waits for bytes or the end of the connection.
+
+    Returns False if the timeout passes first, or if the system call that waits fails.
+    """
+    return bool(_polled_events(sock, select.POLLIN, timeout_s))
 
 
 def receive(sock: socket.socket, buffer: memoryview) -> int:
--- a/tests/proxy/failing_calls.py
+++ b/tests/proxy/failing_calls.py
@@ -39,6 +39,20 @@
     return OSError(error_number, os.strerror(error_number))
 
 
+class FailingPoller:
+    """A poller, as `select.poll` returns it, whose system call fails for want of memory."""
+
+    def __init__(self) -> None:
+        self.failures = 0
+
+    def register(self, sock: socket.socket, events: int) -> None:
+        """Accepts any socket."""
+
+    def poll(self, timeout_ms: float) -> list[tuple[int, int]]:
+        self.failures += 1
+        raise os_error(errno.ENOMEM)
+
+
 def recv_with_failing_peeks(sock: socket.socket, size: int, flags: int = 0) -> bytes:
     """Receives as `socket.recv` does, but raises an OSError (ENOBUFS) for every non-blocking peek."""
     peek = socket.MSG_PEEK | socket.MSG_DONTWAIT
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import itertools
+import select
 import socket
 import threading
 import time
@@ -18,6 +19,7 @@
 from tests.proxy.failing_calls import (
     SHORTAGES,
     TEST_THREAD_PREFIXES,
+    FailingPoller,
     failing,
     failure_scores,
     os_error,
@@ -99,6 +101,16 @@
             assert (status, bool(body)) == (200, True)
 
 
+def test_request_with_bytes_behind_it_is_answered_if_poll_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that was read and then lost, since the wait for the bytes behind it failed."""
+    with running_proxy() as proxy, proxy.connect() as client:
+        poller = FailingPoller()
+        monkeypatch.setattr(select, "poll", lambda: poller)
+        client.send(HttpClient.encode_request() + b"x" * 100)
+        assert client.read_response().status == 200
+        assert poller.failures > 0
+
+
 def test_peeks_that_fail_for_good_delay_no_other_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     """Regression test: connections whose received bytes can't be peeked at delayed other connections.
 
