--- a/olivepost/proxy/executed_ids.py
+++ b/olivepost/proxy/executed_ids.py
@@ -23,9 +23,7 @@
     def __init__(self, max_bytes: int) -> None:
         """Creates a set that occupies at most `max_bytes`, but can keep at least `IDS_PER_PLACE` ids."""
         self._places = max(1, max_bytes // (ID_BYTES * IDS_PER_PLACE))
-        self.max_bytes = (
-            self._places * IDS_PER_PLACE * ID_BYTES
-        )  # bytes of the set in which each place is used
+        self.max_bytes = self._places * IDS_PER_PLACE * ID_BYTES  # size when each place is used
         self._ids = memoryview(map_privately(self.max_bytes)).cast("Q")
 
     def add(self, request_id: str) -> None:
--- a/tests/proxy/http1/feeding.py
+++ b/tests/proxy/http1/feeding.py
@@ -12,8 +12,8 @@
 def feed_all(parser: Parser[StartLineT], pieces: Iterable[bytes]) -> list[Message[StartLineT]]:
     """Feeds the pieces, takes the messages after each piece, and returns all of them."""
     messages = list[Message[StartLineT]]()
-    for piece in pieces:
-        parser.feed(piece)
+    for data in pieces:
+        parser.feed(data)
         while (message := parser.take()) is not None:
             messages.append(message)
     return messages
