Tests: one log whose lines are discarded; unresponsive coordinators have the usual names

Change: `discarded_log` serves test_client, test_long_poll, discovery_run and test_host; names and docstrings changed, nothing else. The test of bytes behind a request, whose name had a pronoun for the request, is test_request_with_extra_bytes_is_answered_if_poll_fails.

--- a/tests/proxy/discovery/discovery_run.py
+++ b/tests/proxy/discovery/discovery_run.py
@@ -7,13 +7,12 @@
 - 2 s after the wait of a poll that gets no complete response, though the event was published within its wait
 - 4 s after the client was switched to another coordinator, if it was published before or just after that
 
-A break or a silent poll says nothing of events in a complete response that was on its way before: these may
-take 7 s.
+A break or an unanswered poll says nothing of events in a complete response that was in flight before: these
+may take 7 s.
 """
 
 from __future__ import annotations
 
-import os
 import threading
 import time
 from collections.abc import Callable, Iterator, Sequence
@@ -26,7 +25,7 @@
 from olivepost.proxy.clock import Clock
 from olivepost.proxy.discovery.client import DiscoveryClient
 from olivepost.proxy.discovery.messages import DiscoveryEvent, DiscoveryHeartbeat
-from olivepost.proxy.event_log import EventLog
+from tests.discarded_log import discarded_log
 from tests.proxy.discovery.late_coordinator import EventFeed, LateCoordinator, PollRecord, Reply, ReplyKind
 
 NOTIFIED_AFTER_S = 7.0
@@ -36,7 +35,7 @@
 JUST_AFTER_SWITCH_S = 0.25
 GRACE_S = 0.35  # an invalidation must have its effect this long after the proxy was notified
 SCHEDULING_SLACK_S = 0.15  # for scheduling delays of the test's own threads
-INCOMPLETE = (ReplyKind.SILENT, ReplyKind.STALLED)
+INCOMPLETE = (ReplyKind.UNRESPONSIVE, ReplyKind.STALLED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +50,7 @@
     plan: Callable[[], Reply]
     publish_at_s: Sequence[float] = ()
     switches: bool = False
-    is_old_silenced: bool = True  # whether the replaced coordinator sends no response any more
+    is_old_unresponsive: bool = True  # whether the replaced coordinator sends no response any more
 
 
 @dataclass
@@ -59,7 +58,9 @@
     """What a run has observed. All times are monotonic seconds."""
 
     feed: EventFeed = field(default_factory=EventFeed)
-    heard: list[tuple[int, float]] = field(default_factory=list)  # index and time of each event, as applied
+    received: list[tuple[int, float]] = field(
+        default_factory=list
+    )  # index and time of each event, as applied
     coordinators: list[LateCoordinator] = field(default_factory=list)
     switched_at: list[float] = field(default_factory=list)
 
@@ -76,9 +77,9 @@
             at + NOTIFIED_AFTER_SWITCH_S for at in self.switched_at if at + JUST_AFTER_SWITCH_S > published_at
         ]
         polls = [poll for poll in self.polls if poll.after < index]
-        on_its_way_from = min((poll.composed_at for poll in polls if poll.is_complete(index)), default=inf)
+        sent_from = min((poll.composed_at for poll in polls if poll.is_complete(index)), default=inf)
         for poll in polls:
-            if on_its_way_from < poll.asked_at:
+            if sent_from < poll.asked_at:
                 continue
             wait_ends_at = poll.asked_at + poll.wait_s
             if poll.reply.kind in INCOMPLETE and published_at <= wait_ends_at:
@@ -89,14 +90,14 @@
 
     def violations(self) -> list[str]:
         """Returns a line of text for each event that was known too late, twice, never or in a wrong order."""
-        indices = [index for index, _ in self.heard]
+        indices = [index for index, _ in self.received]
         expected = list(range(1, self.feed.last_index + 1))
         found = [] if indices == expected else [f"applied {indices}, expected {expected}"]
-        for index, heard_at in self.heard:
+        for index, received_at in self.received:
             notified_at = self.notified_at(index)
-            if heard_at > notified_at + GRACE_S + SCHEDULING_SLACK_S:
-                age_s = heard_at - self.feed.published_at[index - 1]
-                late_s = heard_at - notified_at
+            if received_at > notified_at + GRACE_S + SCHEDULING_SLACK_S:
+                age_s = received_at - self.feed.published_at[index - 1]
+                late_s = received_at - notified_at
                 found.append(
                     f"event {index} known {age_s:.2f} s after it was published,"
                     f" {late_s:.2f} s after it counts as notified"
@@ -123,20 +124,17 @@
 
     @contextmanager
     def _client(self) -> Iterator[DiscoveryClient]:
-        devnull = os.open(os.devnull, os.O_WRONLY)
         clock = Clock()
-        log = EventLog(clock, "test", descriptor=devnull)
         self._add_coordinator(self._steps[0].plan)
         address = read_address(self.observed.coordinators[0].address)
-        client = DiscoveryClient(address, clock, log, self._record, self._seed)
         self.observed.feed.publish()
-        client.start(self.observed.feed.events_after(0))
-        try:
-            yield client
-        finally:
-            client.stop()
-            log.close()
-            os.close(devnull)
+        with discarded_log(clock) as log:
+            client = DiscoveryClient(address, clock, log, self._record, self._seed)
+            client.start(self.observed.feed.events_after(0))
+            try:
+                yield client
+            finally:
+                client.stop()
 
     def _add_coordinator(self, plan: Callable[[], Reply]) -> None:
         self.observed.coordinators.append(LateCoordinator(self.observed.feed, plan))
@@ -147,7 +145,7 @@
             message.is_handled.set()
         elif isinstance(message.change, api.Invalidation):
             assert message.change.group is not None
-            self.observed.heard.append((message.change.group, time.monotonic()))
+            self.observed.received.append((message.change.group, time.monotonic()))
 
     def _play(self, client: DiscoveryClient, step: Step) -> None:
         began_at = time.monotonic()
@@ -163,13 +161,13 @@
         replaced = self.observed.coordinators[-1]
         self._add_coordinator(step.plan)
         self.observed.switched_at.append(time.monotonic())
-        replaced.replace(step.is_old_silenced)
+        replaced.replace(step.is_old_unresponsive)
         assert client.switch_coordinator(read_address(self.observed.coordinators[-1].address))
 
     def _wait_for_events(self) -> None:
         observed = self.observed
         until = time.monotonic() + NOTIFIED_AFTER_S + 2 * GRACE_S
-        while len(observed.heard) < observed.feed.last_index and time.monotonic() < until:
+        while len(observed.received) < observed.feed.last_index and time.monotonic() < until:
             time.sleep(0.05)
 
 
--- a/tests/proxy/discovery/late_coordinator.py
+++ b/tests/proxy/discovery/late_coordinator.py
@@ -20,7 +20,7 @@
     """What a coordinator does with a poll after it has composed the response."""
 
     COMPLETE = "sends it"
-    SILENT = "sends nothing and keeps the connection open"
+    UNRESPONSIVE = "sends nothing and keeps the connection open"
     STALLED = "sends half of it and keeps the connection open"
     BROKEN = "sends half of it and closes the connection"
 
@@ -34,7 +34,7 @@
 
 
 PROMPT = Reply()
-SILENT = Reply(ReplyKind.SILENT)
+UNRESPONSIVE = Reply(ReplyKind.UNRESPONSIVE)
 
 
 def late(delay_s: float) -> Reply:
@@ -97,7 +97,7 @@
         self.peak_count = 0  # largest number of connections that were open at once
         self._feed = feed
         self._lock = threading.Lock()
-        self._is_silenced = threading.Event()
+        self._is_unresponsive = threading.Event()
         self._is_closed = threading.Event()
         super().__init__()
 
@@ -126,27 +126,27 @@
             poll.composed_at = time.monotonic()
             data = encode_poll_response(self._feed.events_after(after))
         if poll.reply.kind is not ReplyKind.COMPLETE:
-            data = data[: len(data) // 2] if poll.reply.kind is not ReplyKind.SILENT else b""
+            data = data[: len(data) // 2] if poll.reply.kind is not ReplyKind.UNRESPONSIVE else b""
         self._is_closed.wait(poll.reply.delay_s)
-        if self._is_silenced.is_set():
+        if self._is_unresponsive.is_set():
             self._is_closed.wait()
         if self._is_closed.is_set():
             return False
         sock.sendall(data)
-        if poll.reply.kind in (ReplyKind.SILENT, ReplyKind.STALLED):
+        if poll.reply.kind in (ReplyKind.UNRESPONSIVE, ReplyKind.STALLED):
             lines.readline()  # waits for the end of the connection
         poll.ended_at = time.monotonic()
         return poll.reply.kind is ReplyKind.COMPLETE
 
-    def replace(self, is_silenced: bool) -> None:
+    def replace(self, is_unresponsive: bool) -> None:
         """Accepts no more connections, and closes the open ones after `CLOSE_AFTER_S`.
 
-        If `is_silenced` is set, responses that were composed before are not sent either.
+        If `is_unresponsive` is set, responses that were composed before are not sent either.
         """
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
-        if is_silenced:
-            self._is_silenced.set()
+        if is_unresponsive:
+            self._is_unresponsive.set()
         threading.Timer(CLOSE_AFTER_S, self.close).start()
 
     def close(self) -> None:
--- a/tests/proxy/discovery/test_client.py
+++ b/tests/proxy/discovery/test_client.py
@@ -3,7 +3,6 @@
 Events are applied once and in order, even after gaps, renumbering or a change of coordinator.
 """
 
-import os
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -19,6 +18,7 @@
 from olivepost.proxy.discovery.watch_state import MAX_LAGGING_RESPONSES, WatchPosition
 from olivepost.proxy.event_log import EventLog
 from olivepost.units import SECOND
+from tests.discarded_log import discarded_log
 
 COORDINATOR = Address("127.0.0.1", 7370)
 NOW = 1_000 * SECOND
@@ -91,16 +91,13 @@
 @pytest.fixture
 def harness(monkeypatch: pytest.MonkeyPatch) -> Iterator[ClientHarness]:
     monkeypatch.setattr(client_module, "LongPoll", IdleLongPoll)
-    devnull = os.open(os.devnull, os.O_WRONLY)
     clock = Clock()
-    log = EventLog(clock, "test", descriptor=devnull)
     posted: list[DiscoveryEvent | DiscoveryHeartbeat] = []
-    client = DiscoveryClient(COORDINATOR, clock, log, posted.append, 1)
-    client.start({"index": 1, "updates": [full_update(1)]})
-    yield ClientHarness(client, log, posted)
-    client.stop()
-    log.close()
-    os.close(devnull)
+    with discarded_log(clock) as log:
+        client = DiscoveryClient(COORDINATOR, clock, log, posted.append, 1)
+        client.start({"index": 1, "updates": [full_update(1)]})
+        yield ClientHarness(client, log, posted)
+        client.stop()
 
 
 def test_first_endpoint_update_is_posted_as_restored(harness: ClientHarness) -> None:
@@ -245,7 +242,7 @@
     assert harness.next_index() == 1
 
 
-def test_response_on_its_way_at_a_switch_is_applied_once_until_the_new_coordinator_responds(
+def test_response_in_flight_at_a_switch_is_applied_once_until_the_new_coordinator_responds(
     harness: ClientHarness,
 ) -> None:
     replaced = harness.long_poll
--- a/tests/proxy/discovery/test_late_responses.py
+++ b/tests/proxy/discovery/test_late_responses.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.proxy.discovery.discovery_run import DiscoveryRun, Step, play_all
-from tests.proxy.discovery.late_coordinator import PROMPT, SILENT, Reply, ReplyKind, late
+from tests.proxy.discovery.late_coordinator import PROMPT, UNRESPONSIVE, Reply, ReplyKind, late
 
 EVERY_700_MS = tuple(0.7 * number for number in range(12))
 
@@ -32,10 +32,10 @@
 
 
 def outage(duration_s: float) -> list[Step]:
-    """Returns a run with an event that is published 0.3 s after an outage in which each poll is silent."""
+    """Returns a run with an event that is published 0.3 s after an outage in which no poll is answered."""
     return [
         Step(1.5, always(PROMPT), (0.2,)),
-        Step(duration_s, always(SILENT)),
+        Step(duration_s, always(UNRESPONSIVE)),
         Step(1.0, always(PROMPT), (0.3,)),
     ]
 
@@ -73,18 +73,18 @@
     Step(2.0, always(PROMPT)),
     Step(2.0, always(late(6.95)), (0.0, 0.3, 0.35)),  # the first event makes way for a poll of this step
 ]
-SILENT_RUNS = {
+UNANSWERED_RUNS = {
     **{f"outage of {duration_s} s": outage(duration_s) for duration_s in (1.0, 3.0, 5.0, 8.0, 8.5)},
     **{
         f"{kind.name.lower()}, then {delay_s} s late": after_missing_response(kind, delay_s)
-        for kind in (ReplyKind.SILENT, ReplyKind.STALLED, ReplyKind.BROKEN)
+        for kind in (ReplyKind.UNRESPONSIVE, ReplyKind.STALLED, ReplyKind.BROKEN)
         for delay_s in (0.0, 1.0, 1.9)
     },
 }
-ON_ITS_WAY_AT_A_SWITCH = [
+IN_FLIGHT_AT_A_SWITCH = [
     Step(1.5, always(PROMPT)),
     Step(5.0, always(late(5.5)), (0.0, 0.5)),  # the first event makes way for a poll of this step
-    Step(1.0, always(late(3.5)), switches=True, is_old_silenced=False),
+    Step(1.0, always(late(3.5)), switches=True, is_old_unresponsive=False),
 ]
 LATE_RUNS = {
     **{f"switch, {delay_s} s late": switch(delay_s) for delay_s in (0.0, 1.0, 2.5, 3.9)},
@@ -93,14 +93,14 @@
     "from prompt to 4 s late and back": sudden(0.0, 4.0),
     "from prompt to 6.8 s late and back": sudden(0.0, 6.8),
     "from 4 s late to prompt and back": sudden(4.0, 0.0),
-    "on its way at a switch": ON_ITS_WAY_AT_A_SWITCH,
+    "in flight at a switch": IN_FLIGHT_AT_A_SWITCH,
     "varying": [Step(12.0, cycle(0.1, 5.0, 0.0, 2.8, 6.8, 1.0, 4.0), EVERY_700_MS)],
 }
 
 
 @pytest.fixture(scope="module")
 def runs() -> dict[str, DiscoveryRun]:
-    steps_by_name = SILENT_RUNS | LATE_RUNS
+    steps_by_name = UNANSWERED_RUNS | LATE_RUNS
     steps_by_name["sudden delay of a burst"] = SUDDEN_DELAY_OF_A_BURST
     steps_by_name["prompt after a switch"] = PROMPT_AFTER_A_SWITCH
     steps_by_name["prompt after a delay"] = [Step(4.0, always(late(2.0))), Step(8.0, always(PROMPT))]
@@ -109,11 +109,11 @@
     return played
 
 
-@pytest.mark.parametrize("name", SILENT_RUNS)
-def test_event_that_a_silent_poll_holds_back_is_known_in_time(
+@pytest.mark.parametrize("name", UNANSWERED_RUNS)
+def test_event_that_an_unanswered_poll_holds_back_is_known_in_time(
     runs: dict[str, DiscoveryRun], name: str
 ) -> None:
-    """Guards against silent polls that are waited for until their events count as notified (review/6)."""
+    """Guards against unanswered polls that are waited for until their events count as notified (review/6)."""
     assert runs[name].observed.violations() == []
 
 
--- a/tests/proxy/discovery/test_long_poll.py
+++ b/tests/proxy/discovery/test_long_poll.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import errno
-import os
 import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from pathlib import Path
 
 import pytest
 
@@ -22,7 +20,8 @@
 from olivepost.proxy.discovery.watch_state import WatchPosition
 from olivepost.proxy.event_log import EventLog
 from olivepost.units import SECOND, Duration
-from tests.proxy.discovery.late_coordinator import PROMPT, SILENT, EventFeed, LateCoordinator, late
+from tests.discarded_log import discarded_log
+from tests.proxy.discovery.late_coordinator import PROMPT, UNRESPONSIVE, EventFeed, LateCoordinator, late
 
 MAX_OPEN_POLLS = 4
 WAIT_TIMEOUT_S = 20.0
@@ -72,9 +71,8 @@
 @contextmanager
 def polling(coordinator: LateCoordinator, is_replacement: bool = False) -> Iterator[RecordingOwner]:
     """Polls a coordinator; at the end, waits until no thread of the long poll is left."""
-    with Path(os.devnull).open("wb") as devnull:
-        clock = Clock()
-        log = EventLog(clock, "test", descriptor=devnull.fileno())
+    clock = Clock()
+    with discarded_log(clock) as log:
         owner = RecordingOwner(log, clock)
         host, _, port = coordinator.address.rpartition(":")
         polled = LongPoll(owner, Address(host, int(port)), 1, is_replacement)
@@ -84,7 +82,6 @@
         finally:
             polled.stop()
             wait_until(lambda: not discovery_threads())
-            log.close()
 
 
 def discovery_threads() -> list[threading.Thread]:
@@ -99,10 +96,10 @@
 
 
 @pytest.mark.usefixtures("short_waits")
-def test_polls_threads_and_connections_of_a_silent_coordinator_are_bounded(
+def test_polls_threads_and_connections_of_an_unresponsive_coordinator_are_bounded(
     coordinator: LateCoordinator,
 ) -> None:
-    coordinator.plan = lambda: SILENT
+    coordinator.plan = lambda: UNRESPONSIVE
     with polling(coordinator) as owner:
         peak = 0
         began_at = time.monotonic()
@@ -120,7 +117,7 @@
 
 
 @pytest.mark.usefixtures("short_waits")
-def test_coordinator_that_is_slower_than_all_polls_together_is_heard(coordinator: LateCoordinator) -> None:
+def test_coordinator_that_is_slower_than_all_polls_together_is_received(coordinator: LateCoordinator) -> None:
     coordinator.plan = lambda: late(1.5)
     with polling(coordinator) as owner:
         wait_until(lambda: len(owner.accepted) >= 3)
@@ -137,13 +134,13 @@
 
 
 @pytest.mark.usefixtures("short_waits")
-def test_silent_poll_is_repeated_if_no_further_thread_can_be_started(
+def test_unanswered_poll_is_repeated_if_no_further_thread_can_be_started(
     coordinator: LateCoordinator, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     def start(*_: object) -> threading.Thread:
         raise RuntimeError("can't start new thread")
 
-    coordinator.plan = lambda: SILENT
+    coordinator.plan = lambda: UNRESPONSIVE
     with polling(coordinator) as owner:
         wait_until(lambda: len(coordinator.polls) == 1)
         monkeypatch.setattr(long_poll, "start_thread", start)
@@ -196,7 +193,7 @@
     events: list[str] = []
     with polling(coordinator) as owner:
         owner.log.event = lambda name, **_: events.append(name)  # type: ignore[method-assign]
-        coordinator.plan = lambda: SILENT
+        coordinator.plan = lambda: UNRESPONSIVE
         wait_until(lambda: "discovery_lost" in events)
         coordinator.plan = lambda: PROMPT
         wait_until(lambda: "discovery_recovered" in events)
--- a/tests/proxy/discovery/test_open_polls.py
+++ b/tests/proxy/discovery/test_open_polls.py
@@ -38,7 +38,7 @@
     return opened
 
 
-def test_next_poll_is_due_shortly_after_the_wait_of_a_silent_one() -> None:
+def test_next_poll_is_due_shortly_after_the_wait_of_an_unanswered_one() -> None:
     assert polls_of(sent_poll()).next_due_at == WAIT_END + RESPONSE_PAUSE
 
 
--- a/tests/proxy/test_system_call_failures.py
+++ b/tests/proxy/test_system_call_failures.py
@@ -101,7 +101,7 @@
             assert (status, bool(body)) == (200, True)
 
 
-def test_request_with_bytes_behind_it_is_answered_if_poll_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_request_with_extra_bytes_is_answered_if_poll_fails(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a request that was read and then lost, since the wait for the bytes behind it failed."""
     with running_proxy() as proxy, proxy.connect() as client:
         poller = FailingPoller()
--- a/tests/shared_store/test_host.py
+++ b/tests/shared_store/test_host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import socket
 import threading
 import time
@@ -11,9 +10,9 @@
 import pytest
 
 from olivepost.proxy.clock import Clock
-from olivepost.proxy.event_log import EventLog
 from olivepost.shared_store.host import CLOSE_TIMEOUT_S, StoreHost
 from olivepost.shared_store.settings import MAX_STORES, SharedStoreSettings
+from tests.discarded_log import discarded_log
 
 WAIT_TIMEOUT_S = 5.0
 SCHEDULING_SLACK_S = 0.5
@@ -25,10 +24,7 @@
         for number, listener in enumerate(listeners)
     ]
     settings = SharedStoreSettings.model_validate({"branch": "b", "stores": stores, "give_up": "5s"})
-    devnull = os.open(os.devnull, os.O_WRONLY)
-    stack.callback(os.close, devnull)
-    log = EventLog(Clock(), "n1", descriptor=devnull)
-    stack.callback(log.close, WAIT_TIMEOUT_S)
+    log = stack.enter_context(discarded_log(Clock()))
     return StoreHost(settings, "n1", Clock(), log, lambda _: None)
 
 
--- a/tests/soak/discovery_soak.py
+++ b/tests/soak/discovery_soak.py
@@ -1,4 +1,4 @@
-"""Soak of discovery: a client against coordinators that are late, silent, broken off and replaced.
+"""Soak of discovery: a client against coordinators that are late, unresponsive, broken off and replaced.
 
     python -m tests.soak.discovery_soak SEED [SEED...]
 
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from tests.proxy.discovery.discovery_run import DiscoveryRun, Step, play_all
-from tests.proxy.discovery.late_coordinator import PROMPT, SILENT, Reply, ReplyKind, late
+from tests.proxy.discovery.late_coordinator import PROMPT, UNRESPONSIVE, Reply, ReplyKind, late
 
 STEPS = 6  # number of spans of trouble in a run
 GROUP_SIZE = 24  # number of runs that are played at the same time
@@ -30,7 +30,7 @@
 SETTLING_S = 4.5  # time for which responses are less late after a missing response or a switch
 MAX_OUTAGE_S = 9.0
 QUIET_BEFORE_OUTAGE_S = 1.5  # events in an outage could not be known in time by any client
-MISSING = (ReplyKind.SILENT, ReplyKind.STALLED, ReplyKind.BROKEN)
+MISSING = (ReplyKind.UNRESPONSIVE, ReplyKind.STALLED, ReplyKind.BROKEN)
 
 
 class ScenarioSampler:
@@ -78,11 +78,11 @@
         self._add(SETTLING_S, plan, MAX_DELAY_AFTER_MISSING_S)
 
     def _add_outage(self) -> None:
-        """Adds an outage in which each poll is silent, and a step in which responses are less late."""
+        """Adds an outage in which no poll is answered, and a step in which responses are less late."""
         duration_s = self._uniform(0.5, MAX_OUTAGE_S)
         delay_s = self._uniform(0.0, MAX_DELAY_AFTER_OUTAGE_S)
         self._steps.append(Step(QUIET_BEFORE_OUTAGE_S, lambda: late(delay_s)))
-        self._steps.append(Step(duration_s, lambda: SILENT))
+        self._steps.append(Step(duration_s, lambda: UNRESPONSIVE))
         self._add(SETTLING_S, lambda: late(delay_s), delay_s)
 
     def _add_switch(self) -> None:
@@ -91,11 +91,11 @@
         Responses of the replaced coordinator that are on their way may be lost, or arrive within 1.5 s.
         """
         is_old_slow = self._max_delay_s > MAX_DELAY_OF_SILENCED_S
-        is_old_silenced = not is_old_slow and self._random.random() < 0.5
+        is_old_unresponsive = not is_old_slow and self._random.random() < 0.5
         max_delay_s = MAX_DELAY_OF_SILENCED_S if is_old_slow else MAX_DELAY_AFTER_SWITCH_S
         delay_s = self._uniform(0.0, max_delay_s)
         times = self._publish_times(SETTLING_S)
-        self._steps.append(Step(SETTLING_S, lambda: late(delay_s), times, True, is_old_silenced))
+        self._steps.append(Step(SETTLING_S, lambda: late(delay_s), times, True, is_old_unresponsive))
         self._max_delay_s = delay_s
 
     def _uniform(self, low: float, high: float) -> float:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -28,7 +28,7 @@
 LARGE_NAMES = frozenset(object_name(number) for number in range(1_000, 1_010))
 # Longest delay until an endpoint applies an invalidation. The proxy's settings keep an invalidation longer.
 MAX_INVALIDATION_DELAY_S = 5.5
-SILENCE_POLL_S = 0.05  # interval at which a silent coordinator checks its mode
+MODE_POLL_S = 0.05  # interval at which an unresponsive coordinator checks its mode
 TRUNCATED_BYTES = 60  # length of a truncated response
 STATUS_WORDS = {
     EndpointFault.ERROR: "FAULT",
@@ -172,8 +172,8 @@
             skip_headers(lines)
             if self.mode is DiscoveryMode.DOWN:
                 return
-            while self.mode is DiscoveryMode.SILENT:
-                time.sleep(SILENCE_POLL_S)
+            while self.mode is DiscoveryMode.UNRESPONSIVE:
+                time.sleep(MODE_POLL_S)
             after, wait_s = read_poll(line)
             with self._change:
                 self._wait(after, wait_s)
--- a/tests/soak/fault_injector.py
+++ b/tests/soak/fault_injector.py
@@ -16,7 +16,7 @@
 
 COMMON_FAULT_SHARE = 0.15  # share of endpoint faults that affect all endpoints at once
 FAULT_SHARES = (0.1, 0.5, 1.0)  # possible shares of an endpoint's commands that a fault affects
-DISCOVERY_FAULTS = (DiscoveryMode.SILENT, DiscoveryMode.DOWN)
+DISCOVERY_FAULTS = (DiscoveryMode.UNRESPONSIVE, DiscoveryMode.DOWN)
 MAX_OUTAGE_S = 0.4  # longest outage of discovery
 MAX_INTERVAL_S = 0.4  # longest time between two faults
 MAX_PAUSE_S = 1.0  # longest time for which the proxy is stopped with SIGSTOP
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,7 +30,7 @@
     """Reaction of the coordinator to polls."""
 
     NORMAL = "responds to polls"
-    SILENT = "receives polls and does not respond"
+    UNRESPONSIVE = "receives polls and does not respond"
     DOWN = "closes the connection of a poll"
 
 
